--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,333 @@
+// Package wire translates between the simulator's binary frames and the events
+// and actions of package rules. It changes words and units and decides nothing.
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"linnetbend/rules"
+)
+
+// Codes of the records in a batch.
+const (
+	codeAttach      = 16
+	codeSync        = 17
+	codeAsk         = 18
+	codeEstablished = 19
+	codeAttemptEnd  = 20
+	codeAborted     = 21
+	codeAlarm       = 22
+	codeChecked     = 23
+	codePeerData    = 24
+	codeTeardown    = 25
+	codeCounter     = 26
+	codeManifest    = 27
+	codeFor         = 28
+)
+
+const (
+	batchHeader = 20      // bytes: clock, length, records, number
+	afterLength = 8       // bytes of the header that the length counts
+	maxFrame    = 1 << 30 // a longer frame is taken for a broken one
+	entrySize   = 22      // bytes of one entry of a list
+	maxSheets   = 16      // lists that can be in use at a time
+	flagRepeat  = 2
+)
+
+// Start is the Attach of an instance.
+type Start struct {
+	Seed     uint64
+	Settings rules.Settings
+}
+
+// Record is one event for one instance. Exactly one of Start, Stop and Event
+// is set.
+type Record struct {
+	Gateway uint32
+	Start   *Start
+	Stop    bool
+	Event   rules.Event
+}
+
+// Batch is all that happens at one moment.
+type Batch struct {
+	Now     float64
+	Seq     uint32
+	Records []Record
+}
+
+// Decoder reads batches. It keeps the numbered lists that batches refer to.
+type Decoder struct {
+	r      io.Reader
+	frame  []byte
+	sheets [maxSheets][]rules.Backend
+	known  [maxSheets]bool
+}
+
+// NewDecoder returns a decoder of the frames in r.
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{r: r} }
+
+// Next reads one batch. It returns io.EOF where the input ends between frames.
+func (d *Decoder) Next() (Batch, error) {
+	var head [batchHeader]byte
+	if _, err := io.ReadFull(d.r, head[:]); err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return Batch{}, errors.New("the input ends within a header")
+		}
+		return Batch{}, err
+	}
+	b := Batch{Now: math.Float64frombits(binary.BigEndian.Uint64(head[0:])),
+		Seq: binary.BigEndian.Uint32(head[16:])}
+	length := binary.BigEndian.Uint32(head[8:])
+	count := binary.BigEndian.Uint32(head[12:])
+	if length < afterLength || length > maxFrame {
+		return b, fmt.Errorf("batch %d: impossible length %d", b.Seq, length)
+	}
+	if math.IsNaN(b.Now) || math.IsInf(b.Now, 0) {
+		return b, fmt.Errorf("batch %d: the clock is no number", b.Seq)
+	}
+	body, err := d.read(int(length) - afterLength)
+	if err != nil {
+		return b, fmt.Errorf("batch %d: the input ends within the frame", b.Seq)
+	}
+	b.Records, err = d.records(body, count)
+	if err != nil {
+		return b, fmt.Errorf("batch %d: %w", b.Seq, err)
+	}
+	return b, nil
+}
+
+// read takes n bytes, growing the buffer only as they arrive.
+func (d *Decoder) read(n int) ([]byte, error) {
+	const step = 1 << 20
+	d.frame = d.frame[:0]
+	for len(d.frame) < n {
+		from, part := len(d.frame), min(step, n-len(d.frame))
+		d.frame = append(d.frame, make([]byte, part)...)
+		if _, err := io.ReadFull(d.r, d.frame[from:]); err != nil {
+			return nil, err
+		}
+	}
+	return d.frame, nil
+}
+
+func (d *Decoder) records(body []byte, count uint32) ([]Record, error) {
+	c := &cursor{rest: body}
+	var out []Record
+	var gateway uint32
+	named := false
+	for i := range count {
+		code := c.u8()
+		if c.short {
+			return nil, fmt.Errorf("record %d: the frame is too short", i)
+		}
+		rec, err := d.record(c, code)
+		switch {
+		case c.short:
+			return nil, fmt.Errorf("record %d (code %d): the frame is too short", i, code)
+		case err != nil:
+			return nil, fmt.Errorf("record %d (code %d): %w", i, code, err)
+		case code == codeFor:
+			gateway, named = rec.Gateway, true
+		case code == codeManifest:
+		case !named:
+			return nil, fmt.Errorf("record %d (code %d): no instance was named", i, code)
+		default:
+			rec.Gateway = gateway
+			out = append(out, rec)
+		}
+	}
+	if len(c.rest) > 0 {
+		return nil, fmt.Errorf("%d bytes follow the last record", len(c.rest))
+	}
+	return out, nil
+}
+
+func (d *Decoder) record(c *cursor, code uint8) (Record, error) {
+	switch code {
+	case codeFor:
+		return Record{Gateway: c.u32()}, nil
+	case codeManifest:
+		return Record{}, d.manifest(c)
+	case codeAttach:
+		seed := c.u64()
+		text := c.bytes(int(c.u32()))
+		if c.short {
+			return Record{}, nil
+		}
+		s, err := ParseSettings(text)
+		return Record{Start: &Start{Seed: seed, Settings: s}}, err
+	case codeTeardown:
+		return Record{Stop: true}, nil
+	case codeSync:
+		ev, err := d.sync(c)
+		return Record{Event: ev}, err
+	}
+	ev, err := c.event(code)
+	return Record{Event: ev}, err
+}
+
+func (d *Decoder) manifest(c *cursor) error {
+	sheet, n := c.u32(), c.u32()
+	if sheet >= maxSheets {
+		return fmt.Errorf("list number %d is too high", sheet)
+	}
+	if uint64(n)*entrySize > uint64(len(c.rest)) {
+		c.short = true
+		return nil
+	}
+	entries := make([]rules.Backend, n)
+	for i := range entries {
+		entries[i] = rules.Backend{ID: rules.BackendID(c.u32()), Zone: int(c.u8()), Kind: int(c.u16()),
+			Cell: int(c.u16())}
+		switch state := c.u8(); state {
+		case 0:
+			entries[i].State = rules.Gone
+		case 1:
+			entries[i].State = rules.Ready
+		case 2:
+			entries[i].State = rules.Draining
+		default:
+			return fmt.Errorf("availability %d is not known", state)
+		}
+		entries[i].Weight, entries[i].Born = c.f32(), c.f64()
+	}
+	d.sheets[sheet], d.known[sheet] = entries, true
+	return nil
+}
+
+func (d *Decoder) sync(c *cursor) (rules.Event, error) {
+	form := c.u8()
+	c.u32() // revision: changes come in order and none is missing
+	sheet := c.u32()
+	if c.short {
+		return nil, nil
+	}
+	kind, known := map[uint8]rules.ListKind{0: rules.FullList, 1: rules.Delta, 2: rules.CachedList,
+		3: rules.ListFailed}[form]
+	if !known {
+		return nil, fmt.Errorf("form %d is not known", form)
+	}
+	if kind == rules.ListFailed {
+		return rules.Backends{Kind: kind}, nil
+	}
+	if sheet >= maxSheets || !d.known[sheet] {
+		return nil, fmt.Errorf("list %d was not defined", sheet)
+	}
+	return rules.Backends{Kind: kind, Entries: d.sheets[sheet]}, nil
+}
+
+// outcomes maps the codes of the wire; the missing ones are errors.
+var outcomes = map[uint8]rules.Outcome{0: rules.Served, 255: rules.Errored, 254: rules.Full,
+	253: rules.TimedOut, 252: rules.ConnectFailed, 251: rules.Broken, 250: rules.Cancelled, 249: rules.Moot}
+
+// event reads the fields of an event that needs nothing but the record.
+func (c *cursor) event(code uint8) (rules.Event, error) {
+	switch code {
+	case codeAsk:
+		return c.ask(), nil
+	case codeEstablished:
+		e := rules.Established{Request: rules.RequestID(c.u32()), Backend: rules.BackendID(c.u32())}
+		e.Took, e.Attempt = c.f64(), int(c.u8())
+		return e, nil
+	case codeAttemptEnd:
+		return c.attemptEnd()
+	case codeAborted:
+		return rules.ClientGone{Request: rules.RequestID(c.u32())}, nil
+	case codeAlarm:
+		return rules.Timer{Token: c.u64()}, nil
+	case codeChecked:
+		e := rules.Probed{Backend: rules.BackendID(c.u32())}
+		var err error
+		e.Outcome, err = c.outcome()
+		e.Took, e.LoadData = c.f64(), c.report()
+		return e, err
+	case codePeerData:
+		from := int(c.u32())
+		return rules.PeerMessage{From: from, Data: append([]byte(nil), c.bytes(int(c.u16()))...)}, nil
+	case codeCounter:
+		e := rules.CounterReply{Name: c.u64()}
+		var err error
+		e.Outcome, err = c.outcome()
+		e.Total, e.Took = c.f32(), c.f64()
+		return e, err
+	}
+	return nil, errors.New("the code is not known")
+}
+
+func (c *cursor) ask() rules.Event {
+	r := rules.Request{ID: rules.RequestID(c.u32()), FirstPeer: int(c.f32()), Plan: int(c.u16()),
+		Customer: rules.CustomerID(c.u64()), Gateways: int(c.f32()), Units: c.f32()}
+	r.Repeat = c.u8()&flagRepeat != 0
+	r.Class, r.Deadline = int(c.u16()), c.f64()
+	return r
+}
+
+func (c *cursor) attemptEnd() (rules.Event, error) {
+	e := rules.AttemptEnd{Request: rules.RequestID(c.u32()), Attempt: int(c.u8()),
+		Backend: rules.BackendID(c.u32())}
+	var err error
+	e.Outcome, err = c.outcome()
+	e.Took, e.Done = c.f64(), c.u8() != 0
+	e.Use, e.Units = int(c.u16()), float64(c.u16())
+	e.LoadData = c.report()
+	return e, err
+}
+
+func (c *cursor) outcome() (rules.Outcome, error) {
+	code := c.u8()
+	o, known := outcomes[code]
+	if !known && !c.short {
+		return o, fmt.Errorf("outcome %d is not known", code)
+	}
+	return o, nil
+}
+
+func (c *cursor) report() []float64 {
+	n := int(c.u8())
+	if n == 0 || n*4 > len(c.rest) {
+		c.short = c.short || n > 0
+		return nil
+	}
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = c.f32()
+	}
+	return out
+}
+
+// cursor walks over the fields of a frame. Past the end it reads zeros and
+// notes that the frame was short.
+type cursor struct {
+	rest  []byte
+	short bool
+}
+
+func (c *cursor) bytes(n int) []byte {
+	if n < 0 || n > len(c.rest) {
+		c.short, c.rest = true, nil
+		return nil
+	}
+	out := c.rest[:n]
+	c.rest = c.rest[n:]
+	return out
+}
+
+func (c *cursor) number(n int) uint64 {
+	var v uint64
+	for _, b := range c.bytes(n) {
+		v = v<<8 | uint64(b)
+	}
+	return v
+}
+
+func (c *cursor) u8() uint8    { return uint8(c.number(1)) }
+func (c *cursor) u16() uint16  { return uint16(c.number(2)) }
+func (c *cursor) u32() uint32  { return uint32(c.number(4)) }
+func (c *cursor) u64() uint64  { return c.number(8) }
+func (c *cursor) f64() float64 { return math.Float64frombits(c.u64()) }
+func (c *cursor) f32() float64 { return float64(math.Float32frombits(c.u32())) }
--- /dev/null
+++ b/internal/wire/encode.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+
+	"linnetbend/rules"
+)
+
+// Codes of the records in a reply.
+const (
+	codeAskLoad       = 80
+	codeDropAttempt   = 81
+	codeSleep         = 82
+	codeCount         = 85
+	codeDecline       = 86
+	codeSpeaking      = 87
+	codeStreamChanges = 88
+	codeAbort         = 89
+	codePassOn        = 91
+	codeLog           = 92
+)
+
+const replyHeader = 12 // bytes: length, records, number
+
+// Reply collects the actions of all instances in answer to one batch.
+type Reply struct {
+	buf   []byte
+	count uint32
+}
+
+// Reset empties the reply for the batch numbered seq.
+func (r *Reply) Reset(seq uint32) {
+	r.buf = append(r.buf[:0], make([]byte, replyHeader)...)
+	binary.BigEndian.PutUint32(r.buf[8:], seq)
+	r.count = 0
+}
+
+// Add appends the actions of one instance.
+func (r *Reply) Add(gateway uint32, actions []rules.Action) error {
+	if len(actions) == 0 {
+		return nil
+	}
+	r.start(codeSpeaking)
+	r.u32(gateway)
+	for _, a := range actions {
+		if err := r.action(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Bytes returns the finished frame; it is valid until the next Reset.
+func (r *Reply) Bytes() []byte {
+	binary.BigEndian.PutUint32(r.buf[0:], uint32(len(r.buf)-4))
+	binary.BigEndian.PutUint32(r.buf[4:], r.count)
+	return r.buf
+}
+
+func (r *Reply) action(a rules.Action) error {
+	switch a := a.(type) {
+	case rules.Send:
+		r.start(codePassOn)
+		r.u32(uint32(a.Request))
+		r.f64(a.Timeout)
+		r.u32(uint32(a.Backend))
+	case rules.Cancel:
+		r.start(codeDropAttempt)
+		r.u32(uint32(a.Request))
+		r.buf = append(r.buf, uint8(a.Attempt))
+	case rules.Refuse:
+		r.start(codeDecline)
+		r.u32(uint32(a.Request))
+		r.f64(a.RetryAfter)
+	case rules.Fail:
+		r.start(codeAbort)
+		r.u32(uint32(a.Request))
+	case rules.SetTimer:
+		r.start(codeSleep)
+		r.f64(a.In)
+		r.u64(a.Token)
+	case rules.Count:
+		r.start(codeCount)
+		r.u64(a.Name)
+		r.u32(math.Float32bits(float32(a.Amount)))
+		r.f64(a.Keep)
+	case rules.Probe:
+		r.start(codeAskLoad)
+		r.u32(uint32(a.Backend))
+	case rules.Subscribe:
+		r.start(codeStreamChanges)
+		r.buf = append(r.buf, 1)
+	case rules.Log:
+		r.start(codeLog)
+		text := a.Text[:min(len(a.Text), math.MaxUint16)]
+		r.buf = binary.BigEndian.AppendUint16(r.buf, uint16(len(text)))
+		r.buf = append(r.buf, text...)
+	default:
+		return fmt.Errorf("no record for action %T", a)
+	}
+	return nil
+}
+
+func (r *Reply) start(code uint8) {
+	r.buf = append(r.buf, code)
+	r.count++
+}
+
+func (r *Reply) u32(v uint32)  { r.buf = binary.BigEndian.AppendUint32(r.buf, v) }
+func (r *Reply) u64(v uint64)  { r.buf = binary.BigEndian.AppendUint64(r.buf, v) }
+func (r *Reply) f64(v float64) { r.u64(math.Float64bits(v)) }
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"linnetbend/rules"
+)
+
+// options mirrors the JSON of an Attach record; unknown keys are passed over.
+type options struct {
+	Allowed struct {
+		Cancel          bool    `json:"cancel"`
+		ConnectTimeoutS float64 `json:"connectTimeoutS"`
+		MaxOpen         int     `json:"maxOpen"`
+		MaxRetryAfterS  float64 `json:"maxRetryAfterS"`
+		MayDuplicate    bool    `json:"mayDuplicate"`
+		MostTries       int     `json:"mostTries"`
+		Probes          bool    `json:"probes"`
+		RetryAfter      bool    `json:"retryAfter"`
+	} `json:"allowed"`
+	Classes []struct {
+		AimStretch float64 `json:"aimStretch"`
+		DeadlineS  float64 `json:"deadlineS"`
+		Effect     string  `json:"effect"`
+		KeyScope   string  `json:"keyScope"`
+		LateWorth  float64 `json:"lateWorth"`
+		ObjectiveS float64 `json:"objectiveS"`
+		Points     float64 `json:"points"`
+		Streamed   bool    `json:"streamed"`
+		WindowS    float64 `json:"windowS"`
+	} `json:"classes"`
+	Discovery  string `json:"discovery"`
+	FamilyInfo struct {
+		CounterPrice    float64 `json:"counterPrice"`
+		CounterTimeoutS float64 `json:"counterTimeoutS"`
+		HasCounter      bool    `json:"hasCounter"`
+		MostUnits       float64 `json:"mostUnits"`
+		TruedUp         bool    `json:"truedUp"`
+	} `json:"familyInfo"`
+	FleetSize  int `json:"fleetSize"`
+	LoadReport struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"loadReport"`
+	Locality    int `json:"locality"`
+	Obligations struct {
+		AnswerSlackS float64 `json:"answerSlackS"`
+		ColdFrom     float64 `json:"coldFrom"`
+		ColdS        float64 `json:"coldS"`
+		DrainGraceS  float64 `json:"drainGraceS"`
+		FallMultiple float64 `json:"fallMultiple"`
+		OverloadForS float64 `json:"overloadForS"`
+	} `json:"obligations"`
+	Packages []struct {
+		AtOnce        float64 `json:"atOnce"`
+		BeyondCosts   float64 `json:"beyondCosts"`
+		CapSlack      float64 `json:"capSlack"`
+		CeilingBurst  float64 `json:"ceilingBurst"`
+		Depth         float64 `json:"depth"`
+		NeverOverRate float64 `json:"neverOverRate"`
+		OverWorth     float64 `json:"overWorth"`
+		Pays          float64 `json:"pays"`
+		UnitsPerS     float64 `json:"unitsPerS"`
+	} `json:"packages"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+		LateFail  float64 `json:"lateFail"`
+		Probe     float64 `json:"probe"`
+		Waste     float64 `json:"waste"`
+	} `json:"prices"`
+	Rank    int     `json:"rank"`
+	TickS   float64 `json:"tickS"`
+	Weights string  `json:"weights"`
+}
+
+var effects = map[string]rules.Effect{"": rules.Repeatable, "repeatable": rules.Repeatable,
+	"by_key": rules.ByKey, "once": rules.Once}
+
+var scopes = map[string]rules.DedupeScope{"": rules.ScopeAll, "all": rules.ScopeAll,
+	"zone": rules.ScopeZone, "cell": rules.ScopeCell}
+
+var loadFields = map[string]rules.LoadField{"busy_reqs": rules.LoadHeld, "pending": rules.LoadWaiting,
+	"cpu_share": rules.LoadCPU, "svc_ms": rules.LoadServiceMillis,
+	"served_ps": rules.LoadServedPerSecond, "failed_ps": rules.LoadErrorsPerSecond}
+
+// ParseSettings reads the settings of an Attach record.
+func ParseSettings(text []byte) (rules.Settings, error) {
+	var o options
+	if err := json.Unmarshal(text, &o); err != nil {
+		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	s := o.settings()
+	for _, c := range o.Classes {
+		effect, known := effects[c.Effect]
+		if !known {
+			return s, fmt.Errorf("settings: effect %q is not known", c.Effect)
+		}
+		scope, known := scopes[c.KeyScope]
+		if !known && effect == rules.ByKey {
+			return s, fmt.Errorf("settings: key scope %q is not known", c.KeyScope)
+		}
+		s.Classes = append(s.Classes, rules.Class{Aim: c.ObjectiveS, AimStretch: c.AimStretch,
+			Deadline: c.DeadlineS, Worth: c.Points, LateWorth: c.LateWorth, Effect: effect,
+			Scope: scope, DedupeWindow: c.WindowS, Streamed: c.Streamed})
+	}
+	for _, p := range o.Packages {
+		s.Plans = append(s.Plans, rules.Plan{Price: p.Pays, Rate: p.UnitsPerS, Burst: p.Depth,
+			MaxConcurrent: int(p.AtOnce), OverWorth: p.OverWorth, OverCost: p.BeyondCosts,
+			CeilingRate: p.NeverOverRate, CeilingBurst: p.CeilingBurst, CeilingSlack: p.CapSlack})
+	}
+	if len(s.Classes) == 0 || len(s.Plans) == 0 {
+		return s, fmt.Errorf("settings: no classes or no packages")
+	}
+	return s, nil
+}
+
+// settings translates all that is neither a class nor a plan.
+func (o *options) settings() rules.Settings {
+	s := rules.Settings{
+		Rank: o.Rank, Fleet: o.FleetSize, Zone: o.Locality, Tick: o.TickS,
+		AskDiscovery: o.Discovery == "ask",
+		RoughWeights: o.Weights == "rough" || o.Weights == "nominal",
+		LoadInline:   o.LoadReport.How == "inline",
+
+		Counter:        o.FamilyInfo.HasCounter,
+		CounterTimeout: o.FamilyInfo.CounterTimeoutS,
+		CounterPrice:   o.FamilyInfo.CounterPrice,
+		MaxUnits:       o.FamilyInfo.MostUnits,
+		UnitsSettled:   o.FamilyInfo.TruedUp,
+
+		CanCancel: o.Allowed.Cancel, CanProbe: o.Allowed.Probes, CanCopy: o.Allowed.MayDuplicate,
+		CanAdvise: o.Allowed.RetryAfter, MaxAdvice: o.Allowed.MaxRetryAfterS,
+		MaxAttempts: o.Allowed.MostTries, MaxOpen: o.Allowed.MaxOpen,
+		ConnectTimeout: o.Allowed.ConnectTimeoutS,
+
+		AnswerSlack: o.Obligations.AnswerSlackS, DrainGrace: o.Obligations.DrainGraceS,
+		ColdFrom: o.Obligations.ColdFrom, ColdFor: o.Obligations.ColdS,
+		FallMultiple: o.Obligations.FallMultiple, FallFor: o.Obligations.OverloadForS,
+
+		CrossZonePrice: o.Prices.CrossZone, WastePrice: o.Prices.Waste,
+		LateFailPrice: o.Prices.LateFail, ProbePrice: o.Prices.Probe,
+	}
+	for _, f := range o.LoadReport.Fields {
+		s.LoadFields = append(s.LoadFields, loadFields[f])
+	}
+	return s
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,896 @@
+package rules
+
+// The decisions of one gateway. The interface it is driven through (settings, events, actions) is in
+// rules/types.go; rules/state.go declares what is kept between events, and decides nothing.
+//
+// A request passes these steps: its customer's lease pays for it (admit), it waits in the queue of its
+// level (enqueue), the bound lets it go (dispatch), a backend is picked (pick), and one function sends
+// (send) and one answers (giveBack), which hold the rules that no other step may bypass.
+
+import (
+	"math"
+	"slices"
+)
+
+// Tuned values. Each is a share or a count that holds for any deployment.
+const (
+	// The bound on work in flight.
+	boundStart   = 4.0  // attempts a backend, shared among the gateways: high, cut soon if wrong
+	boundFloor   = 3.0  // it never shrinks below so many a backend: all slow together, cores still need work
+	boundCut     = 0.75 // factor on the bound when latency nears the aim
+	boundHigh    = 0.38 // mean latency, as a share of the aim, above which the bound shrinks
+	boundLow     = 0.28 // and below which it may grow
+	boundUsed    = 0.8  // it grows only while this share of it is in use
+	boundBurst   = 3.0  // a bound below so many attempts is kept in the mean over loadSpan, not each moment
+	loadSpan     = 1.0  // seconds
+	reserveShare = 0.15 // part of the bound that only top levels may use
+	topWorth     = 0.5  // levels worth at least this share of the highest are top
+
+	// Leases on the shared counter.
+	exactMost    = 5.0  // gateways that can keep the store of a customer exactly
+	windowLen    = 50.0 // seconds of an exact store's window; names live 60 s at most
+	refundLeast  = 0.25 // of a unit; less is not worth a call
+	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
+	nameKeep     = 60.0 // seconds a name lives: longer than its window
+	leaseShare   = 0.25 // a lease lives this part of its window
+	counterRest  = 0.25 // first pause after a failed call, seconds; doubles
+	counterMost  = 2.0  // longest pause
+	demandSpan   = 2.0  // seconds over which demand is averaged
+	crowdGain    = 0.05 // weight of the newest call in the share of calls that fail
+	crowdFactor  = 4.0  // so many times that share of calls are left out: a crowded counter gets air
+	crowdMost    = 0.9
+
+	// Leases of places for attempts out at once.
+	slotSalt      = 1 << 40
+	placeUse      = 0.65 // mean use of the places, where they are kept as a rate
+	placeWindow   = 1.0  // seconds of the window for that
+	slotWindowLen = 10.0 // seconds; what a dead gateway held comes free by then
+	slotRetry     = 0.03 // seconds until the next call when all places are taken
+
+	// Health of a backend.
+	failGain   = 0.25 // weight of the newest outcome in the failure share
+	failEject  = 0.4  // failure share at which a backend gets trials only
+	paceGain   = 0.15 // weight of the newest latency
+	paceMost   = 8.0  // a backend counts as this many times slower at most
+	trialFirst = 0.5  // seconds between trials of an ejected backend; doubles
+	trialMost  = 4.0
+	lateDevs   = 4.0 // an attempt is late this many mean deviations past the mean
+
+	// Further attempts.
+	retryShare = 0.15 // of first sends, so that retries cannot amplify an overload
+	retryMost  = 10.0 // retries saved up at most
+
+	coldSpan = 2.0  // seconds over which sends to warm backends are averaged
+	coldMin  = 0.5  // sends a second, of the whole fleet, that a cold backend always gets
+	coldSave = 1.5  // sends a cold backend's budget holds at most
+	askRest  = 1.0  // seconds until discovery is asked again after it failed
+	houseGap = 0.05 // seconds between rounds of housekeeping
+	idleDrop = 60.0 // seconds after which a customer is forgotten
+)
+
+// Kinds of timer, in the top byte of a token.
+const (
+	timerHouse = iota
+	timerStart // a request that has not been sent is too late now
+	timerEnd   // a request must be answered now
+	timerAsk   // discovery failed a while ago
+	timerLate  // an attempt takes longer than usual
+)
+
+// New starts a gateway. It keeps nothing from an earlier life.
+func New(set Settings, seed uint64, now float64, out []Action) (*Gateway, []Action) {
+	g := &Gateway{set: set, now: now, out: out, born: now, lastHouse: now, lastCut: now, retries: retryMost}
+	for _, c := range set.Classes {
+		for _, p := range set.Plans {
+			g.worths = append(g.worths, c.Worth*p.Price)
+		}
+	}
+	g.worths = append(g.worths, 0) // level 0: beyond the quota
+	slices.Sort(g.worths)
+	g.worths = slices.Compact(g.worths)
+	g.makeRoom(seed)
+	if set.AskDiscovery {
+		g.do(Subscribe{})
+	}
+	g.timer(houseGap, timerHouse, 0, 0)
+	return g, g.out
+}
+
+// Handle takes one event and appends what is to be done about it.
+func (g *Gateway) Handle(now float64, ev Event, out []Action) []Action {
+	g.load += (1 - math.Exp((g.now-now)/loadSpan)) * (float64(g.inFlight) - g.load)
+	g.now, g.out = now, out
+	switch e := ev.(type) {
+	case Request:
+		g.request(e)
+	case AttemptEnd:
+		g.attemptEnd(e)
+	case Established:
+		if j := g.live(e.Request); j != nil {
+			j.streams = true
+		}
+	case ClientGone:
+		if j := g.live(e.Request); j != nil {
+			g.close(j)
+		}
+	case Timer:
+		g.due(e.Token)
+	case CounterReply:
+		g.counted(e)
+	case Backends:
+		g.backends(e)
+	}
+	g.dispatch()
+	return g.out
+}
+
+// request takes in a try. Two timers see to it that it is answered in time.
+func (g *Gateway) request(r Request) {
+	c, p := &g.set.Classes[r.Class], &g.set.Plans[r.Plan]
+	j := &job{Request: r, class: c}
+	j.level, _ = slices.BinarySearch(g.worths, c.Worth*p.Price)
+	j.giveUp = r.Deadline - 2*g.set.Tick
+	if c.LateWorth == 0 && c.AimStretch == 0 {
+		j.giveUp = min(j.giveUp, g.now+c.Aim-g.elapsed(r, c))
+	}
+	g.jobs[r.ID] = j
+	g.arrived[j.level]++
+	g.timer(j.giveUp-g.now, timerEnd, 0, r.ID)
+	g.timer(j.giveUp-g.now-g.latency, timerStart, 0, r.ID)
+	who := g.customerOf(r)
+	j.customer = who
+	if j.giveUp < g.now+g.latency/2 {
+		g.giveBack(j)
+		return
+	}
+	at := len(who.waiting)
+	for at > 0 && who.waiting[at-1].level < j.level {
+		at--
+	}
+	who.waiting = slices.Insert(who.waiting, at, j)
+	g.admit(who)
+}
+
+// elapsed is the time that the client has surely spent on earlier tries. Most tries of a class and plan are
+// given the same patience; one that has another is cut to what is left of the client's whole patience.
+// Danger: a repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
+// requests that may still earn; a fresh try must not be taken for one, so an unknown patience says nothing.
+func (g *Gateway) elapsed(r Request, c *Class) float64 {
+	left, usual := r.Deadline-g.now, &g.patience[r.Class*len(g.set.Plans)+r.Plan]
+	same := func(x float64) bool { return math.Abs(left-x) < 2*g.set.Tick }
+	if same(usual.last) {
+		usual.known = left
+	}
+	usual.last = left
+	if usual.known == 0 || same(usual.known) {
+		return 0
+	}
+	return max(c.Deadline-left, 0)
+}
+
+// due handles a timer.
+func (g *Gateway) due(token uint64) {
+	j, n := g.jobs[RequestID(uint32(token))], int(uint8(token>>32))
+	switch kind := token >> 56; {
+	case kind == timerHouse:
+		g.house()
+	case kind == timerAsk:
+		g.do(Subscribe{})
+	case j == nil:
+	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
+		g.late(j, n)
+	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
+		g.giveBack(j)
+	}
+}
+
+// enqueue puts a paid request in the queue of its level, unless the wait would outlast its aim: Wh <= X /
+// (1 - X*Ah), X being the time in which the bound frees a place and Ah the arrivals of higher levels.
+func (g *Gateway) enqueue(j *job) {
+	x := g.latency / max(g.bound, 1e-3)
+	ahead, higher := 1+float64(len(g.queues[j.level])), 0.0
+	for l := j.level + 1; l < len(g.queues); l++ {
+		ahead += float64(len(g.queues[l]))
+		higher += g.arrivals[l]
+	}
+	if g.full(j.level) && ahead*x >= (j.giveUp-g.now-g.latency)*max(1-x*higher, 0) {
+		g.giveBack(j)
+		return
+	}
+	g.queues[j.level] = append(g.queues[j.level], j)
+}
+
+// full tells whether a level has to wait: it may fill its part of the bound. Of many gateways, the bound of
+// one is less than an attempt; then it is kept in the mean.
+func (g *Gateway) full(level int) bool {
+	room := g.bound
+	if g.worths[level] < topWorth*g.worths[len(g.worths)-1] {
+		room *= 1 - reserveShare
+	}
+	return float64(g.inFlight) >= max(room, boundBurst) || room < boundBurst && g.load >= room
+}
+
+// dispatch releases held requests, highest level first.
+func (g *Gateway) dispatch() {
+	for l := len(g.queues) - 1; l >= 0; l-- {
+		for len(g.queues[l]) > 0 {
+			j := g.queues[l][0]
+			if !j.done {
+				if g.full(l) {
+					return
+				}
+				s := g.pick(j)
+				if s == nil {
+					break
+				}
+				g.send(j, s)
+			}
+			g.queues[l] = g.queues[l][1:]
+		}
+	}
+}
+
+// pick chooses the backend with the fewest own attempts of equal or higher level, measured against the
+// work it is believed to bear. It returns nil if none may be used now.
+func (g *Gateway) pick(j *job) *server {
+	var best, well, trial *server
+	usable, sick := 0, 0
+	for _, s := range g.list {
+		busy := func(a attempt) bool { return a.on == s && !a.ended }
+		if s.State != Ready || !j.inGroup(s) || !g.coldRoom(s) || slices.ContainsFunc(j.attempts, busy) {
+			continue
+		}
+		s.cost = g.cost(s, j)
+		if usable++; best == nil || s.cost < best.cost {
+			best = s
+		}
+		if !s.ejected() {
+			if well == nil || s.cost < well.cost {
+				well = s
+			}
+			continue
+		}
+		sick++
+		rest := s.trialAt
+		if j.class.Effect != Repeatable {
+			rest += trialMost
+		}
+		if trial == nil && g.now >= rest && len(j.attempts) == 0 {
+			trial = s
+		}
+	}
+	switch {
+	case 2*sick > usable:
+		// When most look bad the trouble is shared: leaving them out would only heap the work on the rest.
+		return best
+	case trial != nil:
+		trial.trialGap = min(2*trial.trialGap, trialMost)
+		trial.trialAt = g.now + trial.trialGap
+		return trial
+	}
+	return well
+}
+
+func (g *Gateway) cost(s *server, j *job) float64 {
+	higher := 0
+	for _, n := range s.levels[j.level:] {
+		higher += n
+	}
+	slow := 1.0
+	if s.latency > 0 && g.latency > 0 {
+		slow = min(max(s.latency/g.latency, 1/paceMost), paceMost)
+	}
+	well := 1 - min(s.fail, 0.9)
+	cost := (1 + float64(higher) + 0.1*float64(s.inFlight)) * slow / (well * well * g.warmth(s))
+	if s.Zone != g.set.Zone {
+		cost *= 1 + g.set.CrossZonePrice
+	}
+	if n := len(j.attempts); n > 0 && j.attempts[n-1].on == s {
+		cost += 1e3 // not where it just failed, if there is another
+	}
+	return cost * (1 + 0.05*g.rng.Float64())
+}
+
+// inGroup tells whether s would drop a repeat of j, if j may have run.
+func (j *job) inGroup(s *server) bool {
+	if !j.mayRun || j.class.Effect == Repeatable {
+		return true
+	}
+	scope := j.class.Scope
+	return j.class.Effect == ByKey && (scope == ScopeAll || scope == ScopeZone && s.Zone == j.mayOn.Zone ||
+		scope == ScopeCell && s.Cell == j.mayOn.Cell)
+}
+
+// send starts an attempt; nothing else does. It holds the rules on effects, on attempts out at once and on
+// drains, whoever asks.
+func (g *Gateway) send(j *job, s *server) bool {
+	tries := len(j.attempts)
+	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
+	if j.done || j.streams || !j.paid || s.State != Ready || !j.inGroup(s) || stale ||
+		tries >= max(g.set.MaxAttempts, 1) || j.out > 0 && !g.set.CanCopy {
+		return false
+	}
+	if tries == 0 {
+		g.retries = min(g.retries+retryShare, retryMost)
+	} else {
+		j.customer.open++
+	}
+	if !j.mayRun {
+		j.mayRun, j.mayAt, j.mayOn = true, g.now, s
+	}
+	j.attempts = append(j.attempts, attempt{on: s, sent: g.now})
+	j.out++
+	g.enter(s, j.level)
+	if g.warmth(s) < 1 {
+		s.budget--
+	} else {
+		g.warmSent++
+	}
+	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
+	if g.latency > 0 {
+		g.timer(g.lateAfter(), timerLate, tries, j.ID)
+	}
+	return true
+}
+
+func (g *Gateway) lateAfter() float64 { return g.latency + lateDevs*g.spread }
+
+// attemptEnd books the end of an attempt and decides what becomes of the request.
+func (g *Gateway) attemptEnd(e AttemptEnd) {
+	j := g.jobs[e.Request]
+	if j == nil || e.Attempt >= len(j.attempts) || j.attempts[e.Attempt].ended {
+		return
+	}
+	a, c := &j.attempts[e.Attempt], j.customer
+	a.ended = true
+	j.out--
+	c.open--
+	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+		// Danger: a time-out or a cancel may stop no work. If given-up attempts left the count, each would
+		// make room for one more at a full backend. It stays the longer the more in a row the backend has
+		// let pass.
+		a.on.missed++
+		stay := min(g.latency*float64(a.on.missed), j.class.Deadline)
+		a.on.ghosts = append(a.on.ghosts, ghost{a.sent, g.now + stay, j.level})
+	} else {
+		g.leave(a.on, j.level)
+	}
+	g.observe(j, a, e)
+	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && neverRan(e.Outcome) {
+		j.mayRun = false // proved: no attempt has run
+	}
+	if e.Outcome == Served && g.set.UnitsSettled && e.Units > 0 {
+		c.units -= e.Units - j.Units // the guess is put right
+	}
+	switch {
+	case j.done:
+	case e.Done || e.Outcome == Served:
+		g.close(j)
+	case j.out > 0: // another attempt may still answer
+	case !g.again(j):
+		g.giveBack(j)
+	}
+	if j.done && j.out == 0 {
+		delete(g.jobs, j.ID)
+	}
+	g.admit(j.customer)
+}
+
+// lay ends the ghosts of s that were sent before a served attempt, since backends take work in order, and
+// those that have outlived all patience.
+func (g *Gateway) lay(s *server, served float64) {
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(h ghost) bool {
+		over := h.sent < served || h.until < g.now
+		if over {
+			g.leave(s, h.level)
+		}
+		return over
+	})
+}
+
+// again starts a further attempt if the budget has room and time remains.
+func (g *Gateway) again(j *job) bool {
+	if g.retries < 1 || g.now+g.latency > j.giveUp || g.full(len(g.worths)-1) {
+		return false
+	}
+	s := g.pick(j)
+	if s == nil || !g.send(j, s) {
+		return false
+	}
+	g.retries--
+	return true
+}
+
+// late deals with an attempt that takes longer than nearly all do: silence counts against the backend, and
+// where allowed a second copy goes elsewhere.
+func (g *Gateway) late(j *job, n int) {
+	a := &j.attempts[n]
+	if a.on.lastOK < a.sent {
+		g.blame(a.on)
+	}
+	if j.done || j.streams || len(j.attempts) != n+1 || g.full(0) {
+		return
+	}
+	if g.set.CanCopy && j.customer.terms.places == 0 {
+		g.again(j)
+	}
+}
+
+// giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
+// failed.
+func (g *Gateway) giveBack(j *job) {
+	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
+		advice := 0.0
+		if g.set.CanAdvise && j.paid {
+			advice = g.set.MaxAdvice
+		} else if g.set.CanAdvise {
+			advice = min(g.set.MaxAdvice, max(j.customer.dryUntil-g.now, 0))
+		}
+		g.do(Refuse{Request: j.ID, RetryAfter: advice})
+	} else {
+		g.do(Fail{Request: j.ID})
+	}
+	g.close(j)
+}
+
+// close ends a request for good and calls off what is still out.
+func (g *Gateway) close(j *job) {
+	j.done = true
+	j.customer.waiting = slices.DeleteFunc(j.customer.waiting, func(w *job) bool { return w == j })
+	if j.paid && len(j.attempts) == 0 {
+		j.customer.units += j.Units
+		j.customer.open--
+	}
+	for n := range j.attempts {
+		if !j.attempts[n].ended && g.set.CanCancel && !j.streams {
+			g.do(Cancel{Request: j.ID, Attempt: n})
+		}
+	}
+	if j.out == 0 {
+		delete(g.jobs, j.ID)
+	}
+}
+
+// observe learns from an outcome: the backend's health and pace, and the bound.
+func (g *Gateway) observe(j *job, a *attempt, e AttemptEnd) {
+	s := a.on
+	took := g.now - a.sent
+	switch e.Outcome {
+	case Served:
+		s.lastOK, s.missed = g.now, 0
+		g.lay(s, a.sent)
+		s.fail -= failGain * s.fail
+		if !s.ejected() {
+			s.trialGap = 0
+		}
+		s.pace(took)
+		if g.latency == 0 {
+			g.latency, g.spread = took, took/2
+		}
+		g.spread += 0.02 * (math.Abs(took-g.latency) - g.spread)
+		g.latency += 0.02 * (took - g.latency)
+		g.press(took / j.class.Aim)
+	case Errored, Broken, ConnectFailed:
+		g.blame(s)
+	case Full:
+		g.blame(s)
+		g.press(1)
+	case TimedOut, Cancelled:
+		if took > g.lateAfter() {
+			if s.pace(max(took, s.latency)); e.Outcome == TimedOut {
+				g.press(1)
+			}
+		}
+	}
+}
+
+func (s *server) pace(took float64) {
+	if s.latency == 0 {
+		s.latency = took
+	}
+	s.latency += paceGain * (took - s.latency)
+}
+
+func (s *server) ejected() bool { return s.fail >= failEject }
+
+// blame counts a failure or a silence, whatever its cause.
+func (g *Gateway) blame(s *server) {
+	was := s.ejected()
+	s.fail += failGain * (1 - s.fail)
+	if s.ejected() && !was {
+		s.trialGap = trialFirst
+		s.trialAt = g.now + s.trialGap
+	}
+}
+
+// press moves the bound: down when latency nears the aim, at most once a round trip, and slowly up while
+// it is in use and latency is low.
+func (g *Gateway) press(ratio float64) {
+	gain := min(max((g.now-g.pressedAt)/loadSpan, 0.05), 0.3) // rare answers weigh more
+	g.pressedAt = g.now
+	g.pressure += gain * (min(ratio, 1) - g.pressure)
+	switch {
+	case g.pressure > boundHigh && g.now-g.lastCut > max(g.latency, g.set.Tick):
+		g.bound = max(g.bound*boundCut, g.boundLeast())
+		g.lastCut = g.now
+	case g.pressure < boundLow && max(float64(g.inFlight), g.load) >= boundUsed*g.bound:
+		g.bound += min(1, g.perGateway()) / max(g.bound, 1)
+	}
+}
+
+func (g *Gateway) boundLeast() float64 { return boundFloor * g.perGateway() }
+
+// perGateway is how many backends there are for each gateway.
+func (g *Gateway) perGateway() float64 { return float64(len(g.list)) / float64(max(g.set.Fleet, 1)) }
+
+// warmth is the least share of its capacity that a backend can be trusted with.
+func (g *Gateway) warmth(s *server) float64 {
+	if s.Born == 0 || g.set.ColdFor <= 0 || g.now-s.Born >= g.set.ColdFor {
+		return 1
+	}
+	age := max(g.now-s.Born, 0) / g.set.ColdFor
+	return g.set.ColdFrom + (1-g.set.ColdFrom)*age
+}
+
+// coldRoom keeps a cold backend from being pushed over with no agreement among gateways: each sends it at
+// most its warmth times what it sends a warm one, in any short window, so the sum stays within what warm
+// ones bear.
+func (g *Gateway) coldRoom(s *server) bool {
+	w := g.warmth(s)
+	if w >= 1 {
+		return true
+	}
+	rate := max(w*g.warmRate, coldMin/float64(max(g.set.Fleet, 1)))
+	s.budget = min(s.budget+rate*(g.now-s.budgetedAt), coldSave)
+	s.budgetedAt = g.now
+	return s.budget >= 1
+}
+
+// backends takes in news of the list. What is not ready gets nothing from now on.
+func (g *Gateway) backends(e Backends) {
+	if e.Kind == ListFailed {
+		g.timer(askRest, timerAsk, 0, 0) // at once, all gateways would keep discovery down
+		return
+	}
+	if e.Kind != Delta {
+		for _, s := range g.list {
+			s.State = Gone
+		}
+	}
+	for _, b := range e.Entries {
+		s := g.serverOf(b)
+		if b.Born > s.Born {
+			s.latency, s.fail = 0, 0 // a new process
+		} else {
+			b.Born = s.Born
+		}
+		s.Backend = b
+	}
+	if g.bound == 0 && len(g.list) > 0 {
+		g.bound = boundStart * g.perGateway()
+	}
+}
+
+// house keeps averages and leases in order.
+func (g *Gateway) house() {
+	g.timer(houseGap, timerHouse, 0, 0)
+	span := max(g.now-g.lastHouse, g.set.Tick, 1e-3)
+	g.lastHouse = g.now
+	warm := 0
+	g.forget()
+	for _, s := range g.list {
+		g.lay(s, 0)
+		if s.State == Ready && g.warmth(s) >= 1 {
+			warm++
+		}
+	}
+	gain := min(span/coldSpan, 1)
+	if warm > 0 {
+		g.warmRate += gain * (float64(g.warmSent)/span/float64(warm) - g.warmRate)
+	}
+	g.warmSent = 0
+	for l := range g.arrivals {
+		g.arrivals[l] += gain * (g.arrived[l]/span - g.arrivals[l])
+		g.arrived[l] = 0
+	}
+	keep := g.roster[:0]
+	for _, c := range g.roster {
+		if g.now >= c.expires {
+			c.units = min(c.units, 0) // nobody came for them; the next window makes up for it
+		}
+		g.leavePlaces(c)
+		if g.now-c.seen > idleDrop && c.open == 0 && c.inCalls == 0 && len(c.waiting) == 0 {
+			delete(g.customers, c.id)
+			continue
+		}
+		keep = append(keep, c)
+		if len(c.waiting) > 0 {
+			g.admit(c)
+		}
+	}
+	g.roster = keep
+}
+
+// terms works out what a plan comes to for a customer of so many gateways.
+//
+// With few gateways each sees the totals often enough to keep an exact store: a long window whose allowance
+// grows with time. Else each window is short and stands for itself.
+//
+// Under a ceiling, leases and local shares together never pass it. An exact store spends in any time L
+// allowance*(1+leaseShare) + rate*L at most, and twice the first allowance if the counter comes back empty;
+// short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate.
+func (g *Gateway) terms(p *Plan, gateways, index int) terms {
+	n := float64(max(gateways, 1))
+	t := terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
+		localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), places: p.MaxConcurrent,
+		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
+	t.spare = t.allowance
+	if p.CeilingRate > 0 {
+		t.rate = min(p.Rate, p.CeilingRate)
+		t.allowance = min(t.allowance, p.CeilingBurst*ceilingLease)
+		t.spare, t.localBurst = t.allowance, (p.CeilingBurst-(2+leaseShare)*t.allowance)/n
+		if t.exact {
+			t.allowance = min(p.Burst, p.CeilingBurst/(1+leaseShare))
+			t.spare = (p.CeilingBurst - (1+leaseShare)*t.allowance) / 2
+			t.localBurst = t.spare / n
+		}
+		t.first, t.localRate = t.allowance/n, (p.CeilingRate-t.rate)/n
+	}
+	t.window = windowLen
+	if !t.exact {
+		t.window = t.allowance / max(t.rate, 1e-3)
+	}
+	if !t.exact && t.places > 0 {
+		// Danger: places kept by many hands are two calls a request, and stray. What they let through on
+		// average is kept as a rate instead.
+		if t.places = 0; t.rate == 0 && g.latency > 0 {
+			t.rate = placeUse * float64(p.MaxConcurrent) / g.latency
+			t.window, t.allowance, t.spare = placeWindow, t.rate*placeWindow, t.rate*placeWindow
+			t.first, t.localRate = 1, t.rate/n
+		}
+	}
+	return t
+}
+
+func (g *Gateway) customerOf(r Request) *customer {
+	c := g.customers[r.Customer]
+	if c == nil {
+		c = &customer{id: r.Customer, localAt: g.born, window: -1, seen: g.now}
+		g.customers[r.Customer] = c
+		g.roster = append(g.roster, c)
+		// Danger: a gateway that starts again may have spent its share in its last life. Under a ceiling
+		// it earns the share anew; elsewhere a full store costs little.
+		if p := g.set.Plans[r.Plan]; p.CeilingRate <= 0 {
+			c.local = g.terms(&p, r.Gateways, 0).localBurst
+		}
+	}
+	fleet := max(g.set.Fleet, 1)
+	index := (g.set.Rank - r.FirstPeer + fleet) % fleet // this gateway's place in the customer's set
+	c.terms = g.terms(&g.set.Plans[r.Plan], r.Gateways, max(min(index, r.Gateways-1), 0))
+	c.demand = c.demand*math.Exp(-(g.now-c.seen)/demandSpan) + r.Units/demandSpan
+	c.seen = g.now
+	return c
+}
+
+// admit lets a customer's waiting requests go as far as its leases reach.
+func (g *Gateway) admit(c *customer) {
+	limited := c.terms.rate > 0
+	for len(c.waiting) > 0 {
+		j := c.waiting[0]
+		if c.terms.places > 0 && !g.place(c) {
+			return // a place may come free before its time is over
+		}
+		if limited {
+			g.roll(c)
+			switch {
+			case c.units >= j.Units:
+				c.units -= j.Units
+				// Danger: with a counter that answers now and then, leases and the local share would
+				// add up to more than the quota. So leases count against the share too.
+				c.takeLocal(g.now, 0)
+				c.local = max(c.local-j.Units, -c.terms.localBurst)
+			case c.asking > 0:
+				return
+			case g.now < c.dryUntil:
+				g.giveBack(j)
+				continue
+			case !g.set.Counter || g.now < c.restTill:
+				if !c.takeLocal(g.now, j.Units) {
+					if g.set.Counter && c.terms.exact && c.restTill+g.latency < j.giveUp {
+						return // held: a crowded counter may have room in a moment
+					}
+					g.giveBack(j)
+					continue
+				}
+				c.owed += j.Units
+			default:
+				g.lease(c)
+				continue
+			}
+		}
+		c.waiting = c.waiting[1:]
+		c.open++
+		j.paid = true
+		g.enqueue(j)
+		g.dispatch()
+	}
+}
+
+// place tells whether one more request of c may be let in under its plan's limit on attempts out at once.
+// Places are leased from the counter one call at a time and go back when nobody waits for them.
+func (g *Gateway) place(c *customer) bool {
+	switch {
+	case c.open < c.slots:
+		return true
+	case !g.set.Counter || g.now < c.restTill:
+		return c.open < c.terms.share
+	case c.open >= c.terms.places: // others need not be asked
+	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*houseGap &&
+		!g.crowded(c):
+		g.slotWindow(c)
+		want := float64(min(len(c.waiting), c.terms.places))
+		g.count(call{customer: c, name: c.slotName, units: want, slot: true}, nameKeep)
+	}
+	return false
+}
+
+// slotWindow moves held places to the present name. Places that a gateway took with it when it died, or
+// that a lost reply left behind, end with the old.
+func (g *Gateway) slotWindow(c *customer) {
+	name := hash(hash(uint64(c.id)^slotSalt) + uint64(g.now/slotWindowLen))
+	if name == c.slotName {
+		return
+	}
+	c.slotName = name
+	if c.slots > 0 {
+		g.count(call{customer: c, name: name, fill: float64(c.slots), slot: true}, nameKeep)
+	}
+}
+
+// placed takes the answer to a call for places and adds back what is too many.
+func (g *Gateway) placed(c *customer, k call, total float64) {
+	over := min(max(math.Ceil(total)-float64(c.terms.places), 0), k.units)
+	c.slots += int(k.units - over)
+	if over > 0 {
+		c.slotAfter = g.now + slotRetry
+		g.count(call{customer: c, name: k.name, fill: -over, slot: true}, nameKeep)
+	}
+}
+
+// leavePlaces gives places back that nobody here has used for a moment.
+func (g *Gateway) leavePlaces(c *customer) {
+	if c.slots > 0 {
+		g.slotWindow(c) // what is held is told before anyone asks in the new window
+	}
+	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+houseGap) {
+		c.slots -= spare
+		g.count(call{customer: c, name: c.slotName, fill: -float64(spare), slot: true}, nameKeep)
+	}
+}
+
+// takeLocal spends from the customer's share at this gateway.
+func (c *customer) takeLocal(now, units float64) bool {
+	c.local = min(c.local+c.terms.localRate*(now-c.localAt), c.terms.localBurst)
+	if c.localAt = now; c.local < units {
+		return false
+	}
+	c.local -= units
+	return true
+}
+
+// block is the size of the next lease: what the demand of a second needs, at first all of the share.
+func (c *customer) block() float64 {
+	if !c.met {
+		return c.terms.first
+	}
+	return min(c.demand, c.terms.first)
+}
+
+// roll moves to the counter's present window of this customer, and tells the total at which its store is
+// full. Windows of different customers end at different times, so that not all are asked for at once.
+func (g *Gateway) roll(c *customer) (floor float64) {
+	n := math.Floor(g.now/c.terms.window + c.phase())
+	if n != c.window {
+		c.window, c.known, c.owed, c.dryUntil = n, 0, 0, 0
+		c.name = hash(hash(uint64(c.id)) + uint64(int64(n)))
+	}
+	if c.terms.exact {
+		floor = c.terms.rate * (g.now - (n-c.phase())*c.terms.window)
+	}
+	return floor
+}
+
+// crowded leaves a call out, the more often the more of late have failed.
+func (g *Gateway) crowded(c *customer) bool {
+	if g.rng.Float64() >= min(crowdFactor*g.crowd, crowdMost) {
+		return false
+	}
+	c.restTill = g.now + counterRest
+	return true
+}
+
+// lease asks for a block, and tells what has been spent from the local share in this window.
+func (g *Gateway) lease(c *customer) {
+	if g.crowded(c) {
+		return
+	}
+	need := 0.0
+	for _, j := range c.waiting {
+		need += j.Units
+	}
+	need = math.Ceil(need) + math.Floor(c.block()) // a unit that nobody comes for is missing to the others
+	floor := g.roll(c)
+	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed}
+	k.units = max(min(need, c.terms.allowance), 1)
+	if k.fill = max(floor-c.known, 0); c.known == 0 {
+		// Danger: a window that is new to this gateway may be new to all. The call that starts it must
+		// tell, in one step, that not all of the store is there; who was not the first takes it back.
+		k.fill = floor + c.terms.allowance - c.terms.spare
+	}
+	c.owed = 0
+	g.count(k, nameKeep)
+}
+
+// counted takes the answer to a call. An unanswered call grants nothing: it may have been added, and the
+// next total will tell.
+func (g *Gateway) counted(e CounterReply) {
+	k, ok := g.called(e.Name)
+	if !ok {
+		return
+	}
+	c := k.customer
+	g.crowd -= crowdGain * g.crowd
+	switch {
+	case k.slot && e.Outcome == Served && k.units > 0:
+		g.placed(c, k, e.Total)
+	case e.Outcome != Served:
+		// Danger: a place that was not given back is missing to all gateways. A call turned away
+		// has changed nothing and is made again; one unanswered may have counted and is let be.
+		if e.Outcome != TimedOut && k.slot && k.name == c.slotName {
+			c.slots += int(max(-k.fill, 0))
+		}
+		g.crowd += crowdGain
+		c.rest = min(max(2*c.rest, counterRest), counterMost)
+		c.restTill = g.now + c.rest
+	case k.units > 0 && !k.slot:
+		c.rest = 0
+		g.granted(c, k, e.Total)
+	}
+	g.admit(c)
+}
+
+// granted keeps what fits of a block. An exact store gets the rest back. In a short window it is left: there
+// is nothing for anyone until the next, and the calls for it would be as many as those for units.
+func (g *Gateway) granted(c *customer, k call, total float64) {
+	before := total - k.fill - k.units
+	target := max(before, k.floor)
+	if before-k.owed < refundLeast { // the window is new, or the counter has lost it
+		target = max(target, c.known, k.floor+c.terms.allowance-c.terms.spare)
+	}
+	unit := 1.0
+	if len(c.waiting) > 0 {
+		unit = max(c.waiting[0].Units, 1e-3)
+	}
+	avail := c.terms.allowance - (target - k.floor)
+	grant := max(min(k.units, math.Floor(avail/unit+1e-3)*unit), 0)
+	if grant < k.units {
+		c.dryUntil = g.now + max((2*unit-avail+grant)/max(c.terms.rate, 1e-3), g.set.Tick)
+		if !c.terms.exact {
+			c.dryUntil = (k.window + 1 - c.phase()) * c.terms.window
+		}
+	}
+	c.units += grant
+	if grant > 0 {
+		c.expires = g.now + leaseShare*c.terms.allowance/max(c.terms.rate, 1e-3)
+	}
+	if c.window == k.window {
+		c.known = target + grant
+	}
+	c.met = true
+	if more := target + grant - total; c.terms.exact && math.Abs(more) > refundLeast*unit {
+		g.count(call{customer: c, name: k.name, fill: more}, nameKeep) // less, or what an emptied counter lost
+	}
+}
+
+// neverRan tells which outcomes prove that an attempt had no effect.
+func neverRan(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,796 @@
+package rules
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// drive drives one gateway by hand and keeps the actions of the last event.
+type drive struct {
+	t      *testing.T
+	g      *Gateway
+	now    float64
+	last   []Action
+	nextID RequestID
+}
+
+func testSettings() Settings {
+	return Settings{
+		Classes: []Class{{Aim: 0.8, Deadline: 2, Worth: 1},
+			{Aim: 1, Deadline: 3, Worth: 3, Effect: ByKey, Scope: ScopeCell, DedupeWindow: 2}},
+		Plans: []Plan{{Price: 0.5, Rate: 2, Burst: 4, OverCost: 1}, {Price: 1.5, Rate: 20, Burst: 40, OverCost: 1}},
+		Fleet: 2, Tick: 0.002, Counter: true, CounterTimeout: 0.05,
+		CanCancel: true, CanCopy: true, CanAdvise: true, MaxAdvice: 0.5, MaxAttempts: 4, AnswerSlack: 0.008,
+		DrainGrace: 1, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, FallFor: 2,
+	}
+}
+
+func start(t *testing.T, set Settings, backends ...Backend) *drive {
+	t.Helper()
+	d := &drive{t: t, now: 100}
+	d.g, d.last = New(set, 7, d.now, nil)
+	d.handle(Backends{Kind: CachedList, Entries: backends})
+	return d
+}
+
+func ready(id BackendID) Backend { return Backend{ID: id, State: Ready, Cell: int(id) / 2, Weight: 1} }
+
+func some(n int) (out []Backend) {
+	for i := range n {
+		out = append(out, ready(BackendID(i+1)))
+	}
+	return out
+}
+
+func (d *drive) handle(ev Event) []Action {
+	d.last = d.g.Handle(d.now, ev, nil)
+	return d.last
+}
+
+// ask sends a request of the class and plan and answers its counter calls in full.
+func (d *drive) ask(class, plan int, who CustomerID) RequestID {
+	d.nextID++
+	set := d.g.set
+	out := d.handle(Request{ID: d.nextID, Class: class, Plan: plan, Customer: who, Units: 1, Gateways: 2,
+		Deadline: d.now + set.Classes[class].Deadline})
+	d.last = append(out, d.grantAll(out)...)
+	return d.nextID
+}
+
+func (d *drive) grantAll(actions []Action) (all []Action) {
+	for _, c := range find[Count](actions) {
+		all = append(all, d.g.Handle(d.now, CounterReply{Name: c.Name, Total: c.Amount}, nil)...)
+	}
+	return all
+}
+
+func find[A Action](actions []Action) (out []A) {
+	for _, a := range actions {
+		if x, ok := a.(A); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func one[A Action](t *testing.T, actions []Action) A {
+	t.Helper()
+	all := find[A](actions)
+	if len(all) != 1 {
+		var none A
+		t.Fatalf("want one %T, got %v", none, actions)
+	}
+	return all[0]
+}
+
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("rules.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(l) != "" {
+			lines++
+		}
+		if len(l) > 110 {
+			t.Errorf("line %d has %d characters, 110 are allowed", i+1, len(l))
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines, 850 are allowed", lines)
+	}
+}
+
+func TestHeldRequestIsAnsweredBeforeItsDeadline(t *testing.T) {
+	d := start(t, testSettings()) // no backend at all
+	id := d.ask(0, 1, 1)
+	if n := len(find[Send](d.last)); n != 0 {
+		t.Fatalf("sent %d with no backend", n)
+	}
+	d.now += 0.8
+	out := d.handle(Timer{Token: timerEnd<<56 | uint64(id)})
+	if r := one[Refuse](t, out); r.Request != id {
+		t.Errorf("refused %d, want %d", r.Request, id)
+	}
+	d.now += 1
+	if out := d.handle(Timer{Token: timerEnd<<56 | uint64(id)}); len(find[Refuse](out))+len(find[Fail](out)) > 0 {
+		t.Error("answered twice")
+	}
+}
+
+func TestKeyedRepeatStaysInItsCellAndEndsInFailure(t *testing.T) {
+	d := start(t, testSettings(), some(6)...)
+	id := d.ask(1, 1, 1)
+	first := one[Send](t, d.last)
+	d.now += 0.05
+	out := d.handle(AttemptEnd{Request: id, Backend: first.Backend, Outcome: Errored, Took: 0.05})
+	second := one[Send](t, out)
+	if first.Backend/2 != second.Backend/2 {
+		t.Errorf("repeat went from backend %d to %d, another cell", first.Backend, second.Backend)
+	}
+	d.now += 0.9
+	out = d.handle(Timer{Token: timerEnd<<56 | uint64(id)})
+	if len(find[Refuse](out)) > 0 {
+		t.Error("refused a keyed request that may have run")
+	}
+	one[Fail](t, out)
+}
+
+func TestOnceIsRepeatedOnlyAfterProof(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Effect = Once
+	for _, c := range []struct {
+		how  Outcome
+		more bool
+	}{{Full, true}, {ConnectFailed, true}, {Errored, false}, {Broken, false}, {TimedOut, false}} {
+		d := start(t, set, some(4)...)
+		id := d.ask(0, 1, 1)
+		first := one[Send](t, d.last)
+		out := d.handle(AttemptEnd{Request: id, Backend: first.Backend, Outcome: c.how, Took: 0.01})
+		if got := len(find[Send](out)) == 1; got != c.more {
+			t.Errorf("outcome %v: another attempt %v, want %v", c.how, got, c.more)
+		}
+		if !c.more && len(find[Fail](out)) != 1 {
+			t.Errorf("outcome %v: not failed: %v", c.how, out)
+		}
+	}
+}
+
+func TestNothingGoesToADrainingBackend(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	d.handle(Backends{Kind: Delta, Entries: []Backend{{ID: 1, State: Draining}}})
+	for range 8 {
+		d.ask(0, 1, 1)
+		for _, s := range find[Send](d.last) {
+			if s.Backend == 1 {
+				t.Fatal("sent to a draining backend")
+			}
+		}
+	}
+	d.handle(Backends{Kind: FullList})
+	d.ask(0, 1, 1)
+	if n := len(find[Send](d.last)); n > 0 {
+		t.Error("sent to a backend that a full list no longer names")
+	}
+}
+
+func TestColdBackendGetsNoBurst(t *testing.T) {
+	cold := Backend{ID: 9, State: Ready, Born: 99.9}
+	d := start(t, testSettings(), append(some(1), cold)...)
+	toCold := 0
+	var out []Send
+	for i := range 200 {
+		d.now = 100 + float64(i)*0.01
+		d.ask(0, 1, CustomerID(i))
+		for _, s := range find[Send](d.last) {
+			if s.Backend == 9 {
+				toCold++
+			}
+			out = append(out, s)
+		}
+		if len(out) > 3 { // each takes four steps
+			d.handle(AttemptEnd{Request: out[0].Request, Backend: out[0].Backend, Took: 0.04, Done: true})
+			out = out[1:]
+		}
+		d.handle(Timer{Token: timerHouse << 56})
+	}
+	// A warm backend had 100 a second for two seconds; the cold one may do 20 to 36 of these.
+	if toCold > 2*2*36 {
+		t.Errorf("%d sends to a cold backend in 2 s", toCold)
+	}
+	if toCold == 0 {
+		t.Error("a cold backend never gets anything and cannot take over")
+	}
+}
+
+func TestHeldRequestsLeaveHighestLevelFirst(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	d.g.bound = 4
+	var first RequestID
+	var busy Send
+	for i := range 4 {
+		first = d.ask(0, 1, CustomerID(10+i))
+		busy = one[Send](t, d.last)
+	}
+	low := d.ask(0, 0, 2)
+	high := d.ask(1, 1, 3)
+	if n := len(find[Send](d.last)); n > 0 {
+		t.Fatal("the bound does not hold")
+	}
+	out := d.handle(AttemptEnd{Request: first, Backend: busy.Backend, Took: 0.01, Done: true})
+	if s := one[Send](t, out); s.Request != high {
+		t.Errorf("released %d first, want the higher level %d before %d", s.Request, high, low)
+	}
+}
+
+func TestReserveIsForTopLevels(t *testing.T) {
+	d := start(t, testSettings(), some(4)...)
+	d.g.bound = 10
+	sent := 0
+	for i := range 30 {
+		d.ask(0, 0, CustomerID(i))
+		sent += len(find[Send](d.last))
+	}
+	if sent != 9 {
+		t.Errorf("%d of the lowest level in flight, want 9 of a bound of 10", sent)
+	}
+	d.ask(1, 1, 99)
+	if n := len(find[Send](d.last)); n != 1 {
+		t.Error("the top level cannot use the reserve")
+	}
+}
+
+func TestBeyondQuotaIsRefusedUntilTheWindowEnds(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	out := d.handle(Request{ID: 1, Units: 1, Gateways: 20, Customer: 5, Deadline: d.now + 2})
+	call := one[Count](t, out)
+	// Others have used the window up.
+	out = d.handle(CounterReply{Name: call.Name, Total: 100})
+	if r := one[Refuse](t, out); r.RetryAfter < 0 || r.RetryAfter > 0.5 {
+		t.Errorf("advice %v, want up to the longest that is heeded", r.RetryAfter)
+	}
+	if n := len(find[Count](out)); n > 0 {
+		t.Errorf("%d more calls for a window that is used up", n)
+	}
+	asked := 0
+	for range 40 { // a window is a few seconds long
+		d.now += 0.1
+		d.nextID += 10
+		out = d.handle(Request{ID: d.nextID, Units: 1, Gateways: 20, Customer: 5, Deadline: d.now + 2})
+		if calls := find[Count](out); len(calls) == 1 && calls[0].Name != call.Name {
+			asked++
+			break
+		} else if len(calls) > 0 {
+			t.Fatal("asked again for a window that is used up")
+		}
+	}
+	if asked != 1 {
+		t.Error("does not ask for the next window")
+	}
+}
+
+func TestRepeatWhoseAimHasPassedIsRefused(t *testing.T) {
+	set := testSettings()
+	d := start(t, set, some(4)...)
+	send := func(id RequestID, left float64) int {
+		out := d.handle(Request{ID: id, Plan: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + left})
+		out = append(out, d.grantAll(out)...)
+		for _, s := range find[Send](out) {
+			d.now += 0.1
+			d.handle(AttemptEnd{Request: id, Backend: s.Backend, Took: 0.1, Done: true})
+		}
+		return len(find[Send](out))
+	}
+	if send(1, 0.9) != 1 {
+		t.Error("refused with nothing known of how long clients wait")
+	}
+	for id := range RequestID(4) {
+		if send(10+id, 1.4) != 1 {
+			t.Error("a first try was refused")
+		}
+	}
+	// Of its two seconds the client has spent 1.1, and the aim is 0.8.
+	if send(20, 0.9) != 0 {
+		t.Error("sent a repeat that can earn nothing")
+	}
+	if send(21, 1.8) != 1 {
+		t.Error("refused a repeat that has most of its aim left")
+	}
+}
+
+func TestUnansweredCallGrantsNothingAndTheLocalShareHolds(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	sent, refused := 0, 0
+	for i := range 10 {
+		out := d.handle(Request{ID: RequestID(i + 1), Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 2})
+		for _, c := range find[Count](out) {
+			out = append(out, d.handle(CounterReply{Name: c.Name, Outcome: TimedOut})...)
+		}
+		for _, a := range find[Send](out) {
+			sent++
+			d.handle(AttemptEnd{Request: a.Request, Backend: a.Backend, Took: 0.01, Done: true})
+		}
+		refused += len(find[Refuse](out))
+	}
+	if sent != 2 || refused != 0 {
+		t.Errorf("sent %d and refused %d at once, want burst/gateways = 2, the rest held for the counter", sent, refused)
+	}
+	d.now += 0.79
+	for i := range 10 {
+		refused += len(find[Refuse](d.handle(Timer{Token: timerEnd<<56 | uint64(i+1)})))
+	}
+	if refused != 8 {
+		t.Errorf("sent %d and refused %d, want burst/gateways = 2 and 8", sent, refused)
+	}
+}
+
+func TestPlacesForAttemptsOutAtOnceAreLeased(t *testing.T) {
+	set := testSettings()
+	set.Plans[0] = Plan{Price: 1, MaxConcurrent: 2}
+	d := start(t, set, some(4)...)
+	d.now += 1 // at its start a window hears of the places that are held
+	out := d.handle(Request{ID: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + 2})
+	call := one[Count](t, out)
+	if len(find[Send](out)) != 0 || call.Amount != 1 {
+		t.Fatalf("want one call for one place first: %v", out)
+	}
+	out = d.handle(CounterReply{Name: call.Name, Total: 3})
+	if back := one[Count](t, out); back.Amount != -1 || len(find[Send](out)) != 0 {
+		t.Errorf("a third place of two was kept: %v", out)
+	}
+	d.handle(CounterReply{Name: call.Name, Total: 2})
+	d.now += 0.05
+	out = d.handle(Timer{Token: timerHouse << 56})
+	call = one[Count](t, out)
+	out = d.handle(CounterReply{Name: call.Name, Total: 2})
+	one[Send](t, out)
+}
+
+func TestCeilingHoldsWhateverOrderGatewaysAskIn(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		plan := Plan{Price: 1, Rate: 10, Burst: 10, OverCost: 1, CeilingRate: 17, CeilingBurst: 17, CeilingSlack: 1.7}
+		set := testSettings()
+		set.Plans[0] = plan
+		gateways := []int{3, 8}[seed%2] // an exact store, and short windows
+		var ds []*drive
+		for range gateways {
+			ds = append(ds, start(t, set, some(30)...))
+		}
+		totals, store, id := map[uint64]float64{}, plan.CeilingBurst, RequestID(0)
+		for step := range 40000 {
+			now := 100 + float64(step)*0.002
+			store = min(store+plan.CeilingRate*0.002, plan.CeilingBurst)
+			n := rng.IntN(gateways)
+			d := ds[n]
+			d.now = now
+			id++
+			var todo []Action
+			if now < 102 || rng.Float64() < 0.2+0.2*math.Sin(now) || math.Mod(now, 19) < 7 {
+				todo = d.handle(Request{ID: id, Units: 1, Gateways: gateways, Customer: 5, Deadline: now + 2})
+			} else if step%9 == 0 {
+				todo = d.handle(Timer{Token: timerHouse << 56})
+			}
+			if rng.IntN(8000) == 0 { // killed, with all it knew
+				ds[n] = start(t, set, some(30)...)
+				continue
+			}
+			for len(todo) > 0 {
+				a := todo[0]
+				todo = todo[1:]
+				switch a := a.(type) {
+				case Send:
+					store--
+					todo = append(todo, d.handle(AttemptEnd{Request: a.Request, Backend: a.Backend, Took: 0.01, Done: true})...)
+				case Count:
+					how := Served
+					if phase := math.Mod(now, 19); phase < 4 { // silent, then back empty
+						totals, how = map[uint64]float64{}, TimedOut
+					}
+					totals[a.Name] += a.Amount
+					if rng.IntN(50) == 0 {
+						how = TimedOut // added, but nobody hears of it
+					}
+					todo = append(todo, d.handle(CounterReply{Name: a.Name, Outcome: how, Total: totals[a.Name]})...)
+				}
+			}
+			if store < -plan.CeilingSlack {
+				t.Fatalf("seed %d: the ceiling's store is at %.2f after %.1f s", seed, store, now-100)
+			}
+		}
+	}
+}
+
+func TestFastFailuresDoNotAttractTraffic(t *testing.T) {
+	d := start(t, testSettings(), some(6)...)
+	toBad := 0
+	for i := range 300 {
+		d.now += 0.01
+		d.ask(0, 1, CustomerID(i%5))
+		todo := d.last
+		for len(todo) > 0 {
+			for _, s := range find[Send](todo[:1]) {
+				how := Served
+				if s.Backend == 3 {
+					how = Errored
+					toBad++
+				}
+				n := len(d.g.jobs[s.Request].attempts) - 1
+				todo = append(todo, d.handle(AttemptEnd{Request: s.Request, Attempt: n, Backend: s.Backend, Outcome: how,
+					Took: 0.002, Done: how == Served})...)
+			}
+			todo = todo[1:]
+		}
+	}
+	if toBad > 20 {
+		t.Errorf("%d of 300 went to the backend that fails at once", toBad)
+	}
+}
+
+func TestGivenUpAttemptsStayCounted(t *testing.T) {
+	set := testSettings()
+	set.MaxAttempts = 1
+	d := start(t, set, some(1)...)
+	d.g.bound, d.g.latency = 3.4, 0.5
+	for i := range 3 {
+		d.ask(0, 1, CustomerID(i))
+		s := one[Send](t, d.last)
+		d.now += 0.1
+		d.handle(AttemptEnd{Request: s.Request, Backend: 1, Outcome: TimedOut, Took: 0.1})
+	}
+	d.ask(0, 1, 9)
+	if n := len(find[Send](d.last)); n > 0 {
+		t.Error("a timed-out attempt made room although its backend may still work on it")
+	}
+}
+
+func TestRetriesCannotAmplifyAnOutage(t *testing.T) {
+	d := start(t, testSettings(), some(8)...)
+	d.g.bound = 1000
+	sends := 0
+	for i := range 400 {
+		d.now += 0.05
+		d.ask(0, 1, CustomerID(i))
+		todo := d.last
+		for len(todo) > 0 {
+			for _, s := range find[Send](todo[:1]) {
+				sends++
+				n := len(d.g.jobs[s.Request].attempts) - 1
+				todo = append(todo, d.handle(AttemptEnd{Request: s.Request, Attempt: n, Backend: s.Backend, Outcome: Errored,
+					Took: 0.001})...)
+			}
+			todo = todo[1:]
+		}
+	}
+	if limit := 400*(1+retryShare) + retryMost + 1; float64(sends) > limit {
+		t.Errorf("%d sends for 400 requests that all fail, want %v at most", sends, limit)
+	}
+}
+
+func TestCallsThinOutWhenTheCounterFails(t *testing.T) {
+	calls := func(how Outcome) int {
+		d := start(t, testSettings(), some(8)...)
+		n := 0
+		for i := range 400 {
+			d.now += 0.01
+			out := d.handle(Request{ID: RequestID(i + 1), Units: 1, Gateways: 2, Customer: CustomerID(i), Deadline: d.now + 2})
+			for _, c := range find[Count](out) {
+				n++
+				d.handle(CounterReply{Name: c.Name, Outcome: how, Total: c.Amount})
+			}
+		}
+		return n
+	}
+	well, down := calls(Served), calls(TimedOut)
+	if well < 400 || down > well/2 || down == 0 {
+		t.Errorf("%d calls to a counter that answers, %d to one that does not", well, down)
+	}
+}
+
+func TestPlacesWithoutTheCounterSumToTheLimit(t *testing.T) {
+	set := testSettings()
+	set.Counter, set.Fleet = false, 5
+	set.Plans[0] = Plan{Price: 1, MaxConcurrent: 2}
+	sent := 0
+	for rank := range 3 {
+		set.Rank = (4 + rank) % 5 // the customer's set is 4, 0, 1
+		d := start(t, set, some(8)...)
+		for i := range 3 {
+			out := d.handle(Request{ID: RequestID(i + 1), Units: 1, FirstPeer: 4, Gateways: 3, Customer: 5, Deadline: d.now + 2})
+			sent += len(find[Send](out))
+		}
+	}
+	if sent != 2 {
+		t.Errorf("%d attempts out of the customer at three gateways, want its limit of 2", sent)
+	}
+}
+
+func TestFailedDiscoveryIsAskedAgainAfterAPause(t *testing.T) {
+	set := testSettings()
+	set.AskDiscovery = true
+	d := &drive{t: t, now: 100}
+	d.g, d.last = New(set, 7, d.now, nil)
+	one[Subscribe](t, d.last)
+	out := d.handle(Backends{Kind: ListFailed})
+	if len(find[Subscribe](out)) > 0 {
+		t.Error("asked again at once")
+	}
+	pause := one[SetTimer](t, out)
+	d.now += pause.In
+	one[Subscribe](t, d.handle(Timer{Token: pause.Token}))
+}
+
+func TestBoundOfManyGatewaysIsKeptInTheMean(t *testing.T) {
+	set := testSettings()
+	set.Fleet, set.Counter = 300, false
+	d := start(t, set, some(60)...)
+	d.g.bound = 0.5 // half an attempt each
+	var out []Send
+	sent, together := 0, 0
+	for i := range 4000 { // ten a second; each takes half a second
+		d.now += 0.1
+		for len(out) > 0 && d.now > d.g.jobs[out[0].Request].attempts[0].sent+0.5 {
+			d.handle(AttemptEnd{Request: out[0].Request, Backend: out[0].Backend, Took: 0.5, Outcome: Full})
+			out = out[1:]
+		}
+		d.g.bound = 0.5
+		d.g.retries = 0
+		d.nextID++
+		sends := find[Send](d.handle(Request{ID: d.nextID, Plan: 1, Units: 1, Gateways: 300, Customer: CustomerID(i),
+			Deadline: d.now + 2}))
+		for _, id := range []RequestID{d.nextID, d.nextID - 8} {
+			d.handle(Timer{Token: timerEnd<<56 | uint64(id)})
+		}
+		sent += len(sends)
+		out = append(out, sends...)
+		together = max(together, d.g.inFlight)
+	}
+	mean := float64(sent) * 0.5 / 400
+	if mean > 0.75 || mean < 0.2 {
+		t.Errorf("%.2f attempts in flight on average with a bound of a half", mean)
+	}
+	if together < 1 || together > 3 {
+		t.Errorf("%d attempts at once", together)
+	}
+}
+
+func TestBlocksLeaveNoUnitThatNobodyComesFor(t *testing.T) {
+	d := start(t, testSettings(), some(4)...)
+	for i := range 20 { // a customer seen once in ten seconds at this gateway
+		d.now += 10
+		out := d.handle(Request{ID: RequestID(i + 1), Plan: 1, Units: 1, Gateways: 100, Customer: 5, Deadline: d.now + 2})
+		if call := one[Count](t, out); call.Amount != 1 {
+			t.Fatalf("took %v units for one request", call.Amount)
+		}
+		for _, s := range find[Send](d.grantAll(out)) {
+			d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Took: 0.1, Done: true})
+		}
+	}
+}
+
+func TestRequestIsNotHeldForACrowdedCounter(t *testing.T) {
+	d := start(t, testSettings(), some(4)...)
+	for i := range 3 {
+		out := d.handle(Request{ID: RequestID(i + 1), Units: 1, Gateways: 100, Customer: 5, Deadline: d.now + 2})
+		for _, c := range find[Count](out) {
+			out = append(out, d.handle(CounterReply{Name: c.Name, Outcome: TimedOut})...)
+		}
+		if i == 0 {
+			one[Send](t, out) // the share of this gateway
+		} else {
+			one[Refuse](t, out)
+		}
+	}
+}
+
+func TestPlacesOfManyGatewaysAreKeptAsARate(t *testing.T) {
+	set := testSettings()
+	set.Fleet = 100
+	set.Plans[0] = Plan{Price: 1, MaxConcurrent: 2}
+	d := start(t, set, some(40)...)
+	d.g.latency, d.g.bound = 0.1, 100
+	total, sent := 0.0, 0
+	names := map[uint64]bool{}
+	for i := range 60 { // 60 requests within one window
+		d.now += 0.001
+		out := d.handle(Request{ID: RequestID(i + 1), Units: 1, Gateways: 50, Customer: 5, Deadline: d.now + 2})
+		for _, c := range find[Count](out) {
+			names[c.Name] = true
+			total += c.Amount
+			out = append(out, d.handle(CounterReply{Name: c.Name, Total: total})...)
+		}
+		sent += len(find[Send](out))
+	}
+	// Two places, a tenth of a second each: 20 a second at most, in two windows at most.
+	if sent < 10 || sent > 20*len(names) {
+		t.Errorf("%d requests let in, want about 13", sent)
+	}
+}
+
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	d := start(t, testSettings(), some(3)...)
+	for i := range 50 {
+		id := BackendID(10 + i)
+		d.handle(Backends{Kind: Delta, Entries: []Backend{ready(id)}})
+		d.handle(Backends{Kind: Delta, Entries: []Backend{{ID: id, State: Gone}}})
+		d.now += 0.05
+		d.handle(Timer{Token: timerHouse << 56})
+	}
+	if len(d.g.list) != 3 || len(d.g.servers) != 3 {
+		t.Errorf("%d listed and %d known, want 3", len(d.g.list), len(d.g.servers))
+	}
+}
+
+// TestOddInputIsMetCalmly drives the module with what no sound deployment sends.
+func TestOddInputIsMetCalmly(t *testing.T) {
+	for name, set := range map[string]Settings{
+		"nothing set": {Classes: []Class{{}}, Plans: []Plan{{}}},
+		"no fleet":    {Classes: []Class{{Aim: 1, Deadline: 2, Worth: 1}}, Plans: []Plan{{Price: 1, Rate: 1, Burst: 1}}, Counter: true},
+		"no burst": {Classes: []Class{{Aim: 1, Deadline: 2, Worth: 1}}, Plans: []Plan{{Price: 1, Rate: 5, CeilingRate: 1}},
+			Fleet: 1, Counter: true, Tick: 0.002},
+		"places alone": {Classes: []Class{{Aim: 1, Deadline: 2, Worth: 1}}, Plans: []Plan{{Price: 1, MaxConcurrent: 1}},
+			Fleet: 3, Counter: true, Tick: 0.002},
+	} {
+		d := start(t, set, some(2)...)
+		answered := 0
+		for i, gateways := range []int{0, 1, 3, 1000} {
+			id := RequestID(i + 1)
+			out := d.handle(Request{ID: id, Units: 1, Gateways: gateways, FirstPeer: 7, Customer: 5, Deadline: d.now + 2})
+			for _, c := range find[Count](out) {
+				out = append(out, d.handle(CounterReply{Name: c.Name, Total: math.Inf(1)})...)
+				out = append(out, d.handle(CounterReply{Name: c.Name, Outcome: Full})...) // twice
+			}
+			d.handle(CounterReply{Name: 99})
+			d.handle(AttemptEnd{Request: id, Attempt: 9, Backend: 77, Outcome: Served})
+			d.handle(AttemptEnd{Request: 12345, Backend: 1, Outcome: Moot})
+			d.handle(Backends{Kind: FullList})
+			d.handle(Backends{Kind: Delta, Entries: some(1)})
+			out = append(out, d.handle(Timer{Token: timerHouse << 56})...)
+			for _, s := range find[Send](out) {
+				end := AttemptEnd{Request: s.Request, Backend: s.Backend, Took: 0.1, Done: true}
+				d.handle(end)
+				d.handle(end) // repeated
+				answered++
+			}
+			answered += len(find[Refuse](out)) + len(find[Fail](out))
+			d.now += 2
+			answered += len(find[Refuse](d.handle(Timer{Token: timerEnd<<56 | uint64(id)})))
+		}
+		if answered != 4 {
+			t.Errorf("%s: %d of 4 requests answered", name, answered)
+		}
+	}
+}
+
+// TestRandomEvents checks the rules on the module's actions under odd orders of events.
+func TestRandomEvents(t *testing.T) {
+	for seed := range uint64(60) {
+		first := randomRun(t, seed)
+		if second := randomRun(t, seed); !reflect.DeepEqual(first, second) {
+			t.Fatalf("seed %d: the same events led to other actions", seed)
+		}
+	}
+}
+
+type openRequest struct {
+	Request
+	attempts []Send
+	out      []int
+	ended    bool
+}
+
+func randomRun(t *testing.T, seed uint64) (log []Action) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	set := testSettings()
+	set.CanCopy = seed%2 == 0
+	set.Counter = seed%3 != 0
+	set.Classes = append(set.Classes, Class{Aim: 0.5, Deadline: 1, Worth: 2, Effect: Once})
+	d := start(t, set, some(5)...)
+	open := map[RequestID]*openRequest{}
+	var order []RequestID
+	type timer struct {
+		at    float64
+		token uint64
+	}
+	timers := []timer{{100.05, timerHouse << 56}}
+	var calls []Count
+	notReady := map[BackendID]bool{}
+	take := func(actions []Action) {
+		log = append(log, actions...)
+		for _, a := range actions {
+			switch a := a.(type) {
+			case Send:
+				o := open[a.Request]
+				if o.ended {
+					t.Fatalf("seed %d: sent request %d after its end", seed, a.Request)
+				}
+				if notReady[a.Backend] {
+					t.Fatalf("seed %d: sent to %d, which drains", seed, a.Backend)
+				}
+				if len(o.out) > 0 && !set.CanCopy {
+					t.Fatalf("seed %d: two attempts out", seed)
+				}
+				o.out = append(o.out, len(o.attempts))
+				o.attempts = append(o.attempts, a)
+				if len(o.attempts) > set.MaxAttempts {
+					t.Fatalf("seed %d: %d attempts", seed, len(o.attempts))
+				}
+			case Refuse:
+				o := open[a.Request]
+				if o.ended {
+					t.Fatalf("seed %d: two answers", seed)
+				}
+				o.ended = true
+			case Fail:
+				if open[a.Request].ended {
+					t.Fatalf("seed %d: two answers", seed)
+				}
+				open[a.Request].ended = true
+			case SetTimer:
+				timers = append(timers, timer{d.now + a.In, a.Token})
+			case Count:
+				calls = append(calls, a)
+			}
+		}
+	}
+	for range 3000 {
+		d.now += 0.002
+		for i := 0; i < len(timers); i++ {
+			if timers[i].at <= d.now {
+				due := timers[i]
+				timers = slices.Delete(timers, i, i+1)
+				i--
+				take(d.handle(Timer{Token: due.token}))
+			}
+		}
+		for _, id := range order {
+			if o := open[id]; !o.ended && d.now > o.Deadline+set.AnswerSlack {
+				t.Fatalf("seed %d: request %d was not answered in time", seed, id)
+			}
+		}
+		switch rng.IntN(6) {
+		case 0, 1:
+			d.nextID++
+			r := Request{ID: d.nextID, Class: rng.IntN(3), Plan: rng.IntN(2), Customer: CustomerID(rng.IntN(4)), Units: 1,
+				Gateways: 2}
+			r.Deadline = d.now + set.Classes[r.Class].Deadline*(0.5+rng.Float64()/2)
+			open[r.ID] = &openRequest{Request: r}
+			order = append(order, r.ID)
+			take(d.handle(r))
+		case 2, 3:
+			if len(order) == 0 {
+				continue
+			}
+			o := open[order[max(0, len(order)-1-rng.IntN(20))]]
+			if len(o.out) == 0 {
+				continue
+			}
+			n := o.out[0]
+			o.out = o.out[1:]
+			how := []Outcome{Served, Served, Errored, Full, TimedOut, Broken, ConnectFailed}[rng.IntN(7)]
+			done := o.ended || how == Served
+			o.ended = done
+			take(d.handle(AttemptEnd{Request: o.ID, Attempt: n, Backend: o.attempts[n].Backend, Outcome: how, Took: 0.1,
+				Done: done}))
+		case 4:
+			if len(calls) > 0 {
+				c := calls[0]
+				calls = calls[1:]
+				take(d.handle(CounterReply{Name: c.Name, Outcome: []Outcome{Served, Served, TimedOut, Full}[rng.IntN(4)],
+					Total: max(c.Amount+float64(rng.IntN(3)), 0)}))
+			}
+		case 5:
+			b := ready(BackendID(1 + rng.IntN(5)))
+			b.State = BackendState(rng.IntN(3))
+			notReady[b.ID] = b.State != Ready
+			take(d.handle(Backends{Kind: Delta, Entries: []Backend{b}}))
+		}
+	}
+	return log
+}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,242 @@
+package rules
+
+// What a gateway keeps between events, and plain bookkeeping on it. Nothing is
+// decided here.
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+)
+
+// Gateway holds all that one gateway knows.
+type Gateway struct {
+	set Settings
+	now float64
+	rng *rand.Rand
+	out []Action
+
+	jobs      map[RequestID]*job
+	queues    [][]*job // by level, each in order of arrival
+	worths    []float64
+	servers   map[BackendID]*server
+	list      []*server // by id
+	customers map[CustomerID]*customer
+	roster    []*customer       // by first sight
+	calls     map[uint64][]call // out, by name, in order
+	born      float64
+
+	bound, lastCut    float64 // most attempts in flight, and when that was last cut
+	inFlight          int
+	load              float64 // mean of inFlight
+	pressure          float64 // mean of latency over aim
+	pressedAt         float64
+	latency, spread   float64 // mean of answers and its mean deviation
+	retries           float64 // saved up
+	crowd             float64 // share of counter calls that fail
+	warmRate          float64 // own sends a second to a warm backend
+	warmSent          int
+	lastHouse         float64
+	patience          []patience
+	arrivals, arrived []float64 // by level: a second, and since lastHouse
+}
+
+// job is one request from its arrival until its last attempt has ended.
+type job struct {
+	Request
+	class               *Class
+	customer            *customer
+	level               int
+	giveUp              float64 // an answer after this earns nothing
+	paid, done, streams bool    // its units are taken; it is over; its answer has begun
+	attempts            []attempt
+	out                 int
+	mayRun              bool    // an attempt may have run, or is out
+	mayAt               float64 // when the first such was sent
+	mayOn               *server // and where
+}
+
+// patience is how long the clients of a class and plan wait for one try.
+type patience struct{ last, known float64 }
+
+type attempt struct {
+	on    *server
+	sent  float64
+	ended bool
+}
+
+// ghost is an attempt that was given up and may still take up its backend.
+type ghost struct {
+	sent, until float64
+	level       int
+}
+
+// server is what this gateway knows of one backend.
+type server struct {
+	Backend
+	levels             []int // own attempts in flight by level
+	inFlight           int
+	ghosts             []ghost
+	missed             int     // attempts given up since the last answer
+	fail               float64 // share of recent failures
+	latency            float64 // 0: no answer yet
+	lastOK             float64
+	cost               float64 // as of the last pick
+	trialAt, trialGap  float64
+	budget, budgetedAt float64 // sends it may get while cold
+}
+
+// live returns a request that is not over, or nil.
+func (g *Gateway) live(id RequestID) *job {
+	if j := g.jobs[id]; j != nil && !j.done {
+		return j
+	}
+	return nil
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) timer(in float64, kind uint64, attempt int, id RequestID) {
+	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id)})
+}
+
+// leave takes an attempt out of the counts of work in flight.
+func (g *Gateway) leave(s *server, level int) {
+	s.inFlight--
+	s.levels[level]--
+	g.inFlight--
+}
+
+// customer is the quota of one customer as this gateway sees it.
+type customer struct {
+	id             CustomerID
+	terms          terms
+	seen, demand   float64 // units a second, here
+	open           int     // requests let in and not over, and further attempts
+	waiting        []*job  // highest level first
+	units, expires float64 // leased and not spent
+	window         float64 // number of the counter's window
+	name           uint64
+	known          float64 // the window's total as last seen
+	met            bool    // the counter has told of it
+	dryUntil       float64
+	excess         float64
+	owed           float64 // spent in this window and not told
+	inCalls        int     // calls out
+	asking         int     // of these for units
+	askingPlace    int     // of these for places
+	rest, restTill float64 // pause after a failed call
+	local, localAt float64 // own share, for when the counter is silent
+
+	slots     int // leased places for attempts out at once
+	slotName  uint64
+	slotAfter float64 // no call for a place before this
+}
+
+// call is one Count whose reply is due.
+type call struct {
+	customer *customer
+	name     uint64
+	window   float64
+	floor    float64 // total at which the store is full
+	owed     float64 // spent already
+	fill     float64 // refill that nobody has used, written off; places told or given back
+	units    float64 // asked for
+	slot     bool    // for places, not units
+}
+
+// pending keeps count of the calls that are out.
+func (c *customer) pending(k call, n int) {
+	c.inCalls += n
+	switch {
+	case k.units > 0 && k.slot:
+		c.askingPlace += n
+	case k.units > 0:
+		c.asking += n
+	}
+}
+
+// phase spreads the ends of windows over customers.
+func (c *customer) phase() float64 { return float64(hash(uint64(c.id))%1024) / 1024 }
+
+// hash mixes a number; names of the counter must not collide.
+func hash(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// terms are what a plan comes to for one customer at one gateway.
+type terms struct {
+	exact                   bool
+	rate, allowance, window float64 // units a second, units a window, its length
+	spare                   float64 // the first allowance where nothing is known
+	localRate, localBurst   float64
+	first                   float64 // block
+	places                  int
+	share                   int // of the places, without the counter
+}
+
+// makeRoom allocates what the levels and the settings call for.
+func (g *Gateway) makeRoom(seed uint64) {
+	g.rng = rand.New(rand.NewPCG(seed, seed>>1))
+	g.jobs = map[RequestID]*job{}
+	g.servers = map[BackendID]*server{}
+	g.customers = map[CustomerID]*customer{}
+	g.calls = map[uint64][]call{}
+	g.queues = make([][]*job, len(g.worths))
+	g.arrivals = make([]float64, len(g.worths))
+	g.arrived = make([]float64, len(g.worths))
+	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
+}
+
+// enter counts an attempt as work in flight.
+func (g *Gateway) enter(s *server, level int) {
+	s.inFlight++
+	s.levels[level]++
+	g.inFlight++
+}
+
+// serverOf finds a listed backend, or adds it to the list, which is kept by id.
+func (g *Gateway) serverOf(b Backend) *server {
+	s := g.servers[b.ID]
+	if s == nil {
+		s = &server{Backend: b, levels: make([]int, len(g.worths)), budgetedAt: g.now}
+		g.servers[b.ID] = s
+		at, _ := slices.BinarySearchFunc(g.list, b.ID, func(s *server, id BackendID) int { return cmp.Compare(s.ID, id) })
+		g.list = slices.Insert(g.list, at, s)
+	}
+	return s
+}
+
+// forget drops backends that are gone and have nothing in flight.
+func (g *Gateway) forget() {
+	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
+		gone := s.State == Gone && s.inFlight == 0
+		if gone {
+			delete(g.servers, s.ID)
+		}
+		return gone
+	})
+}
+
+// count makes a call. Replies for one name come in the order of the calls.
+func (g *Gateway) count(k call, keep float64) {
+	g.calls[k.name] = append(g.calls[k.name], k)
+	k.customer.pending(k, 1)
+	g.do(Count{Name: k.name, Amount: k.owed + k.fill + k.units, Keep: keep})
+}
+
+// called takes the call that a reply answers off the list.
+func (g *Gateway) called(name uint64) (k call, ok bool) {
+	out := g.calls[name]
+	if len(out) == 0 {
+		return k, false
+	}
+	if k, g.calls[name] = out[0], out[1:]; len(out) == 1 {
+		delete(g.calls, name)
+	}
+	k.customer.pending(k, -1)
+	return k, true
+}
--- /dev/null
+++ b/rules/types.go
@@ -0,0 +1,305 @@
+// Package rules decides, for one gateway, what happens to each request of a
+// customer that is held to a quota before a shared back end.
+//
+// This file is the whole interface: settings go in once, events go in one at a
+// time, actions come out. Times are seconds on the clock of the caller. The
+// decisions are in rules.go.
+package rules
+
+// RequestID names one try of a client at one gateway.
+type RequestID uint32
+
+// BackendID names a backend; it is the same at every gateway.
+type BackendID uint32
+
+// CustomerID names a customer.
+type CustomerID uint64
+
+// Effect says how often a request of a class may take effect.
+type Effect int
+
+// The kinds of effect.
+const (
+	Repeatable Effect = iota // may run any number of times
+	ByKey                    // a group of backends drops repeats for a while
+	Once                     // must not run twice
+)
+
+// DedupeScope is the group of backends that drops repeats of a keyed request.
+type DedupeScope int
+
+// The scopes, widest first.
+const (
+	ScopeAll DedupeScope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is one class of requests.
+type Class struct {
+	Aim          float64 // an answer within this time earns the full worth
+	AimStretch   float64 // the aim grows by this many times the request's own work
+	Deadline     float64 // the client's patience over all its tries
+	Worth        float64
+	LateWorth    float64 // share of the worth between aim and deadline
+	Effect       Effect
+	Scope        DedupeScope
+	DedupeWindow float64 // how long the scope remembers a keyed request
+	Streamed     bool
+}
+
+// Plan is what a customer has bought. A rate or limit of 0 means none.
+type Plan struct {
+	Price         float64 // factor on the worth of a request
+	Rate          float64 // units a second
+	Burst         float64 // units the quota's store holds at most
+	MaxConcurrent int     // attempts out at once, over all gateways
+	OverWorth     float64 // share of the worth earned beyond the quota
+	OverCost      float64 // share of the worth that a send beyond the quota costs
+	CeilingRate   float64
+	CeilingBurst  float64
+	CeilingSlack  float64
+}
+
+// LoadField is one value of a backend's load report.
+type LoadField int
+
+// The values a load report can hold.
+const (
+	LoadOther LoadField = iota
+	LoadHeld            // requests held
+	LoadWaiting
+	LoadCPU
+	LoadServiceMillis
+	LoadServedPerSecond
+	LoadErrorsPerSecond
+)
+
+// Settings is what an operator states about a deployment.
+type Settings struct {
+	Classes []Class
+	Plans   []Plan
+
+	Rank  int // this gateway's number among Fleet
+	Fleet int // gateways
+	Zone  int
+	Tick  float64 // events come at most this often
+
+	AskDiscovery bool // changes of the list come only when asked for
+	RoughWeights bool // Backend.Weight says something about size
+	LoadFields   []LoadField
+	LoadInline   bool // reports come with outcomes, not with probes alone
+
+	Counter        bool
+	CounterTimeout float64
+	CounterPrice   float64
+	MaxUnits       float64
+	UnitsSettled   bool // a request's units are a guess until it is answered
+
+	CanCancel      bool
+	CanProbe       bool
+	CanCopy        bool // two attempts of a request may be out at once
+	CanAdvise      bool // clients are told how long to stay away
+	MaxAdvice      float64
+	MaxAttempts    int
+	MaxOpen        int
+	ConnectTimeout float64
+
+	AnswerSlack  float64
+	DrainGrace   float64
+	ColdFrom     float64 // least share of its capacity a backend starts at
+	ColdFor      float64 // it is warm after this time
+	FallMultiple float64 // this many times its capacity pushes it over
+	FallFor      float64 // when sent for this long
+
+	CrossZonePrice float64
+	WastePrice     float64
+	LateFailPrice  float64
+	ProbePrice     float64
+}
+
+// BackendState is what discovery says of a backend.
+type BackendState int
+
+// The states of a backend.
+const (
+	Gone BackendState = iota
+	Ready
+	Draining
+)
+
+// Backend is one entry of the list of backends.
+type Backend struct {
+	ID     BackendID
+	Zone   int
+	Kind   int
+	Cell   int
+	State  BackendState
+	Weight float64
+	Born   float64 // time of its last start; 0: long ago
+}
+
+// ListKind says what a Backends event holds.
+type ListKind int
+
+// The kinds of list.
+const (
+	FullList   ListKind = iota // all there are
+	Delta                      // changed entries only
+	CachedList                 // all, as last known to a gateway that starts
+	ListFailed                 // discovery failed; the old list stands
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes. NeverRan tells which of them prove that nothing happened.
+const (
+	Served Outcome = iota
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Broken
+	Cancelled
+	Moot
+)
+
+// Event is one thing that happened to this gateway.
+type Event interface{ event() }
+
+// Backends is news from discovery.
+type Backends struct {
+	Kind    ListKind
+	Entries []Backend
+}
+
+// Request is a client's try, which is owed one final answer.
+type Request struct {
+	ID        RequestID
+	Customer  CustomerID
+	Plan      int
+	Class     int
+	Units     float64
+	FirstPeer int // the gateways of this customer are Gateways in a row from here
+	Gateways  int
+	Deadline  float64 // clock time at which the client stops waiting
+	Repeat    bool    // marked by the client as another try
+}
+
+// Established says that a streamed answer has begun.
+type Established struct {
+	Request RequestID
+	Attempt int
+	Backend BackendID
+	Took    float64
+}
+
+// AttemptEnd is the one end of an attempt.
+type AttemptEnd struct {
+	Request  RequestID
+	Attempt  int
+	Backend  BackendID
+	Outcome  Outcome
+	Took     float64
+	Done     bool    // the request is over
+	Use      int     // 1 + use of the customer in percent, 0: not told
+	Units    float64 // true units, 0: not told
+	LoadData []float64
+}
+
+// Probed is the result of a probe.
+type Probed struct {
+	Backend  BackendID
+	Outcome  Outcome
+	Took     float64
+	LoadData []float64
+}
+
+// ClientGone says that a request is over without our answer.
+type ClientGone struct{ Request RequestID }
+
+// Timer is a timer that is due.
+type Timer struct{ Token uint64 }
+
+// CounterReply answers one Count.
+type CounterReply struct {
+	Name    uint64
+	Outcome Outcome
+	Total   float64
+	Took    float64
+}
+
+// PeerMessage is data from another gateway.
+type PeerMessage struct {
+	From int
+	Data []byte
+}
+
+func (Backends) event()     {}
+func (Request) event()      {}
+func (Established) event()  {}
+func (AttemptEnd) event()   {}
+func (Probed) event()       {}
+func (ClientGone) event()   {}
+func (Timer) event()        {}
+func (CounterReply) event() {}
+func (PeerMessage) event()  {}
+
+// Action is one thing for the gateway to do.
+type Action interface{ action() }
+
+// Send starts the next attempt of a request. Timeout 0: the client's deadline.
+type Send struct {
+	Request RequestID
+	Backend BackendID
+	Timeout float64
+}
+
+// Cancel stops waiting for an attempt.
+type Cancel struct {
+	Request RequestID
+	Attempt int
+}
+
+// Refuse is a final answer: turned away, trying again is harmless.
+type Refuse struct {
+	Request    RequestID
+	RetryAfter float64
+}
+
+// Fail is a final answer with no promise about the effect.
+type Fail struct{ Request RequestID }
+
+// SetTimer asks for a Timer event.
+type SetTimer struct {
+	In    float64
+	Token uint64
+}
+
+// Count adds to a shared number and asks for its total. A name that is new
+// starts at 0 and is forgotten after Keep.
+type Count struct {
+	Name   uint64
+	Amount float64
+	Keep   float64
+}
+
+// Probe asks a backend for its load.
+type Probe struct{ Backend BackendID }
+
+// Subscribe asks discovery for changes.
+type Subscribe struct{}
+
+// Log writes a line for the operators.
+type Log struct{ Text string }
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (SetTimer) action()  {}
+func (Count) action()     {}
+func (Probe) action()     {}
+func (Subscribe) action() {}
+func (Log) action()       {}
