--- /dev/null
+++ b/cmd/elderyard/main.go
@@ -0,0 +1,47 @@
+// Elderyard is one gateway on real sockets. EDGE_CONFIG names its
+// configuration; SIGTERM makes it answer what it holds and end.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"linnetbend/internal/gateway"
+)
+
+const (
+	heapShare = 0.7 // of the memory limit; stacks, sockets and the binary have the rest
+	heapGrow  = 400 // percent between collections: the heap is small beside the limit
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "elderyard:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	path := os.Getenv("EDGE_CONFIG")
+	if path == "" {
+		return fmt.Errorf("EDGE_CONFIG is not set")
+	}
+	c, err := gateway.ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
+	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
+	debug.SetGCPercent(heapGrow)
+	log.SetPrefix(c.Name + " ")
+	return gateway.Run(ctx, &c)
+}
--- /dev/null
+++ b/internal/gateway/backend.go
@@ -0,0 +1,409 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"linnetbend/rules"
+)
+
+const (
+	mostBody     = 64 << 10               // bytes of a body, either way
+	mostAnswer   = 128 << 10              // bytes of an answer with its headers and framing
+	mostInterim  = 8                      // 1xx answers before the real one
+	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
+	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
+	notRunHeader = "X-Unprocessed"
+	leftHeader   = "X-Time-Left-Ms"
+)
+
+// result is what became of an attempt.
+type result struct {
+	outcome rules.Outcome
+	header  http.Header // of a served answer
+	body    []byte
+}
+
+// attempt is one sending of a request to a backend. The loop owns all but what
+// mu guards.
+type attempt struct {
+	x        *exchange
+	number   int
+	backend  rules.BackendID
+	sent     float64
+	deadline float64
+	until    time.Time // the deadline for sockets
+	ended    bool
+
+	ctx    context.Context // of the dial
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	conn   *backendConn
+	called bool // off
+}
+
+// callOff ends the attempt's sending and waiting. Once it has returned, no byte
+// of the request leaves any more: a dial that is up later finds it called off,
+// and a connection in use is closed.
+func (a *attempt) callOff() {
+	a.cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.called = true
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// hold takes a connection for the attempt, unless it was called off.
+func (a *attempt) hold(c *backendConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.called {
+		a.conn = c
+	}
+	return !a.called
+}
+
+// release gives the connection up. It tells whether it may be used again.
+func (a *attempt) release() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+	return !a.called
+}
+
+// backendConn is one connection to a backend, for one request at a time.
+type backendConn struct {
+	net.Conn
+	raw  syscall.RawConn   // for a look at the socket; nil where it has none
+	left *io.LimitedReader // what an answer may still take, headers among it
+	r    *bufio.Reader     // on left
+	w    *bufio.Writer
+	home *target
+	idle time.Time // since when
+}
+
+// alive looks, without waiting, whether an idle connection still stands.
+// Danger: a request written to one that the backend has closed ends as a
+// reset, which is no proof that it did not run.
+func (c *backendConn) alive() bool {
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet && c.r.Buffered() == 0
+}
+
+// target is one life of a backend at one address. All of its connections end
+// with it.
+type target struct {
+	address string
+	born    float64
+	ctx     context.Context // ends with the target; dials hang on it
+	cancel  context.CancelFunc
+	conns   map[*backendConn]struct{}
+	idle    []*backendConn // the most recently used last
+	retired bool
+}
+
+// pools holds the connections to all backends.
+type pools struct {
+	connectTimeout time.Duration
+	idleLimit      time.Duration
+	mostOpen       int // connections in all
+
+	mu      sync.Mutex
+	targets map[rules.BackendID]*target
+	open    int // connections and dials
+}
+
+func newPools(connectTimeout, keepAlive time.Duration, mostOpen int) *pools {
+	return &pools{connectTimeout: connectTimeout, idleLimit: max(keepAlive-idleMargin, keepAlive/2),
+		mostOpen: mostOpen, targets: map[rules.BackendID]*target{}}
+}
+
+// update tells where a ready backend is. A new start or address retires the
+// connections of the old.
+func (p *pools) update(id rules.BackendID, address string, born float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.targets[id]
+	if old != nil && old.address == address && old.born >= born {
+		return
+	}
+	if old != nil {
+		// What is out at an earlier life will never be answered.
+		p.retire(old, old.born < born)
+	}
+	t := &target{address: address, born: born, conns: map[*backendConn]struct{}{}}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	p.targets[id] = t
+}
+
+// remove ends all new sending to a backend that drains or is gone, dials that
+// wait among it. What is out there may still be answered.
+func (p *pools) remove(id rules.BackendID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.targets[id]; t != nil {
+		p.retire(t, false)
+		delete(p.targets, id)
+	}
+}
+
+func (p *pools) retire(t *target, inUse bool) {
+	t.retired = true
+	t.cancel()
+	for c := range t.conns {
+		if inUse || !c.idle.IsZero() {
+			c.Close()
+		}
+	}
+	for _, c := range t.idle {
+		p.forget(c)
+	}
+	t.idle = nil
+}
+
+// forget takes a closed connection off the books.
+func (p *pools) forget(c *backendConn) {
+	if _, here := c.home.conns[c]; here {
+		delete(c.home.conns, c)
+		p.open--
+	}
+}
+
+// discard closes a connection that may not be used again.
+func (p *pools) discard(c *backendConn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(c)
+}
+
+// put keeps a connection for the next attempt.
+func (p *pools) put(c *backendConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.home.retired {
+		c.Close()
+		p.forget(c)
+		return
+	}
+	c.idle = time.Now()
+	c.home.idle = append(c.home.idle, c)
+}
+
+// sweep closes what has been idle too long, until ctx ends.
+func (p *pools) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepGap)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for id, t := range p.targets {
+				p.retire(t, true)
+				delete(p.targets, id)
+			}
+			return
+		case <-tick.C:
+			p.mu.Lock()
+			for _, t := range p.targets {
+				p.closeOldest(t, time.Now().Add(-p.idleLimit))
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+func (p *pools) closeOldest(t *target, before time.Time) {
+	n := 0
+	for ; n < len(t.idle) && t.idle[n].idle.Before(before); n++ {
+		t.idle[n].Close()
+		p.forget(t.idle[n])
+	}
+	t.idle = append(t.idle[:0], t.idle[n:]...)
+}
+
+var errNoConn = errors.New("no connection to be had")
+
+// conn returns an idle connection to the backend, or a new one.
+func (p *pools) conn(ctx context.Context, id rules.BackendID) (*backendConn, error) {
+	p.mu.Lock()
+	t := p.targets[id]
+	if t == nil {
+		p.mu.Unlock()
+		return nil, errNoConn
+	}
+	for n := len(t.idle); n > 0; n = len(t.idle) {
+		c := t.idle[n-1]
+		t.idle = t.idle[:n-1]
+		if time.Since(c.idle) < p.idleLimit && c.alive() {
+			c.idle = time.Time{}
+			p.mu.Unlock()
+			return c, nil
+		}
+		c.Close()
+		p.forget(c)
+	}
+	if p.open >= p.mostOpen {
+		p.mu.Unlock()
+		return nil, errNoConn
+	}
+	p.open++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, t)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && t.retired {
+		c.Close()
+		err = errNoConn
+	}
+	if err != nil {
+		p.open--
+		return nil, err
+	}
+	t.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (p *pools) dial(ctx context.Context, t *target) (*backendConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	defer cancel()
+	defer context.AfterFunc(t.ctx, cancel)()
+	d := net.Dialer{KeepAlive: -1} // it would not notice a silent machine in time
+	conn, err := d.DialContext(ctx, "tcp", t.address)
+	if err != nil {
+		return nil, err
+	}
+	left := &io.LimitedReader{R: conn}
+	c := &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: t}
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	return c, nil
+}
+
+// attempt sends the request and waits for what comes back. An error before the
+// last byte is written proves that nothing ran; any later one proves nothing.
+func (p *pools) attempt(a *attempt) result {
+	c, err := p.conn(a.ctx, a.backend)
+	if err != nil {
+		return result{outcome: rules.ConnectFailed}
+	}
+	if !a.hold(c) {
+		p.discard(c)
+		return result{outcome: rules.ConnectFailed}
+	}
+	c.SetDeadline(a.until)
+	err = a.x.request(time.Until(a.until)).Write(c.w)
+	if err == nil {
+		err = c.w.Flush()
+	}
+	if err != nil {
+		a.release()
+		p.discard(c)
+		return result{outcome: rules.ConnectFailed}
+	}
+	res, reuse := c.answer(a.x.method)
+	if a.release() && reuse {
+		p.put(c)
+	} else {
+		p.discard(c)
+	}
+	return res
+}
+
+// request is what goes to the backend: the client's own, with the time that
+// this attempt has.
+func (x *exchange) request(left time.Duration) *http.Request {
+	header := make(http.Header, len(x.header))
+	for k, v := range x.header {
+		header[k] = v
+	}
+	header[leftHeader] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	r := &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
+	if len(x.body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
+	}
+	return r
+}
+
+// answer reads what comes back, the body whole, and tells whether the
+// connection may be used again.
+func (c *backendConn) answer(method string) (result, bool) {
+	asked := &http.Request{Method: method}
+	c.left.N = mostAnswer
+	for range mostInterim {
+		resp, err := http.ReadResponse(c.r, asked)
+		if err != nil {
+			return result{outcome: broken(err)}, false
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		body, err := readBody(resp.Body, resp.ContentLength)
+		resp.Body.Close()
+		if err != nil {
+			return result{outcome: broken(err)}, false
+		}
+		reuse := !resp.Close && c.r.Buffered() == 0
+		switch {
+		case resp.StatusCode == http.StatusOK:
+			return result{rules.Served, resp.Header, body}, reuse
+		case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+			resp.Header.Get(notRunHeader) == "1":
+			return result{outcome: rules.Full}, reuse
+		}
+		return result{outcome: rules.Errored}, reuse
+	}
+	return result{outcome: rules.Errored}, false
+}
+
+// broken tells a time-out from a connection that ended.
+func broken(err error) rules.Outcome {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return rules.TimedOut
+	}
+	return rules.Broken
+}
+
+var errTooLong = errors.New("the body is too long")
+
+// readBody reads a whole body, of known length or not.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length > mostBody {
+		return nil, errTooLong
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, mostBody+1))
+	if err == nil && len(body) > mostBody {
+		err = errTooLong
+	}
+	return body, err
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,110 @@
+// Package gateway is the real gateway round the decision module: it turns what
+// happens on sockets into the module's events and carries out its actions.
+// Which request goes where, and when it is refused, is decided in package
+// rules alone.
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+
+	"linnetbend/internal/wire"
+)
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Counter   string // empty where the deployment has none
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int // file descriptors
+	Known     Listing
+	wire.Deployment
+}
+
+// least are the limits below which a gateway can't do its work.
+const (
+	leastMemoryMB = 16
+	leastSockets  = 128
+)
+
+// ReadConfig reads the configuration file at path.
+func ReadConfig(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (Config, error) {
+	var raw struct {
+		Name, Listen, Discovery, Counter, Seed string
+		Limits                                 struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		}
+		Known    Listing
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, err
+	}
+	if raw.Settings == nil {
+		return Config{}, errors.New("no settings")
+	}
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Counter: raw.Counter,
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known}
+	var err error
+	if c.Deployment, err = wire.ParseDeployment(raw.Settings); err != nil {
+		return Config{}, err
+	}
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return Config{}, fmt.Errorf("seed: %w", err)
+	}
+	return c, c.check()
+}
+
+// check finds what a gateway could not run with, before any socket is opened.
+func (c *Config) check() error {
+	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	if c.Settings.Counter {
+		addresses["counter"] = c.Counter
+	}
+	for key, address := range addresses {
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is not an address with a port", key, address)
+		}
+	}
+	for key, names := range map[string][]string{"class": c.ClassNames, "plan": c.PlanNames} {
+		for i, name := range names {
+			if name == "" || slices.Contains(names[:i], name) {
+				return fmt.Errorf("%s %q: the name is empty or stands twice", key, name)
+			}
+		}
+	}
+	switch {
+	case c.Cores <= 0 || c.MemoryMB < leastMemoryMB || c.Sockets < leastSockets:
+		return fmt.Errorf("limits: %g cores, %d MB and %d sockets are too little", c.Cores, c.MemoryMB, c.Sockets)
+	case c.Fleet < 1 || c.Rank < 0 || c.Rank >= c.Fleet:
+		return fmt.Errorf("settings: rank %d is not among %d gateways", c.Rank, c.Fleet)
+	case c.Tick <= 0 || c.ConnectTimeout <= 0 || c.KeepAlive <= 0:
+		return errors.New("settings: tick, connect time-out and keep-alive must be above 0")
+	case c.Settings.Counter && c.CounterTimeout <= 0:
+		return errors.New("settings: the counter's time-out must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/counter.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linnetbend/rules"
+)
+
+const (
+	lanes           = 8                // connections to the counter; it holds 32 of a gateway
+	mostCalls       = 512              // calls that wait on one lane
+	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
+	counterStuck    = 2 * time.Second  // an answer so late is given up with its connection
+	counterIdleLook = 1 * time.Second  // between looks for idle lanes
+	mostTotal       = 64               // bytes of a total
+	mostKeep        = 60 * time.Second // the counter takes longer ones for this
+	leastKeep       = time.Millisecond
+	countPath       = "/v1/count/"
+	mostCounterHead = 16 << 10 // bytes of an answer with its headers
+)
+
+// call is one addition on the counter. The loop owns ended.
+type call struct {
+	name   uint64
+	amount float64
+	keep   time.Duration
+	sent   float64
+	ended  bool
+
+	givenUp atomic.Bool // by the loop: not to be written any more
+	report  func(*call, rules.Outcome, float64)
+}
+
+// counter makes calls over a few pipelined connections. The calls for one name
+// keep to one connection, so their answers come in the order of the calls.
+type counter struct {
+	address string
+	timeout time.Duration
+	lanes   [lanes]chan *call
+}
+
+func newCounter(address string, timeout time.Duration) *counter {
+	c := &counter{address: address, timeout: timeout}
+	for i := range c.lanes {
+		c.lanes[i] = make(chan *call, mostCalls)
+	}
+	return c
+}
+
+// add hands a call over without waiting. It returns false where too many wait.
+func (c *counter) add(k *call) bool {
+	select {
+	case c.lanes[k.name%lanes] <- k:
+		return true
+	default:
+		return false
+	}
+}
+
+// run keeps the lanes until ctx ends.
+func (c *counter) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, calls := range c.lanes {
+		wg.Go(func() { c.lane(ctx, calls) })
+	}
+	wg.Wait()
+}
+
+// lane writes the calls of one channel.
+func (c *counter) lane(ctx context.Context, calls <-chan *call) {
+	var conn *counterConn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	look := time.NewTicker(counterIdleLook)
+	defer look.Stop()
+	used := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
+			if conn != nil && time.Since(used) > counterIdle {
+				conn.Close()
+				conn = nil
+			}
+		case k := <-calls:
+			if k.givenUp.Load() {
+				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
+				continue
+			}
+			if conn != nil && (conn.dead.Load() || time.Since(used) > counterIdle) {
+				conn.Close()
+				conn = nil
+			}
+			if conn == nil {
+				var err error
+				if conn, err = c.dial(ctx); err != nil {
+					conn = nil
+					k.report(k, rules.ConnectFailed, 0)
+					continue
+				}
+			}
+			used = time.Now()
+			conn.call(k)
+		}
+	}
+}
+
+// counterConn is one connection: calls go out in order and so do the answers
+// come. A call that was given up keeps its place, so that its late answer is
+// not taken for the next call's.
+type counterConn struct {
+	net.Conn
+	host    string
+	dead    atomic.Bool
+	waiting chan *call // written, in order
+	once    sync.Once
+}
+
+func (c *counter) dial(ctx context.Context) (*counterConn, error) {
+	d := net.Dialer{Timeout: c.timeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	conn := &counterConn{Conn: nc, host: c.address, waiting: make(chan *call, mostCalls)}
+	go conn.read()
+	return conn, nil
+}
+
+// Close ends the connection; its reader reports what is still out and ends too.
+// Only the lane's writer calls it, so nothing joins waiting afterwards.
+func (c *counterConn) Close() error {
+	c.once.Do(func() { close(c.waiting) })
+	return c.Conn.Close()
+}
+
+// call writes one call. It joins the line before it is written, lest the
+// answer overtake it; where the line is full the connection is stuck.
+func (c *counterConn) call(k *call) {
+	if len(c.waiting) == cap(c.waiting) {
+		k.report(k, rules.ConnectFailed, 0)
+		return
+	}
+	text := fmt.Appendf(nil, "POST %s%016x?add=%s&ttl_ms=%d HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
+		countPath, k.name, strconv.FormatFloat(k.amount, 'f', -1, 64), k.keep.Milliseconds(), c.host)
+	c.SetWriteDeadline(time.Now().Add(counterStuck))
+	if _, err := c.Write(text); err != nil {
+		// The last byte was not written, so nothing was added.
+		c.dead.Store(true)
+		k.report(k, rules.ConnectFailed, 0)
+		return
+	}
+	c.waiting <- k
+}
+
+// read takes the answers in. What is out when the connection ends may have been
+// added.
+func (c *counterConn) read() {
+	left := &io.LimitedReader{R: c.Conn}
+	r := bufio.NewReader(left)
+	asked := &http.Request{Method: http.MethodPost}
+	failed := false
+	for k := range c.waiting {
+		if failed {
+			k.report(k, rules.TimedOut, 0)
+			continue
+		}
+		left.N = mostCounterHead
+		c.SetReadDeadline(time.Now().Add(counterStuck))
+		outcome, total, err := readTotal(r, asked)
+		if err != nil {
+			failed, outcome = true, rules.TimedOut
+			c.dead.Store(true)
+			c.Conn.Close()
+		}
+		k.report(k, outcome, total)
+	}
+}
+
+func readTotal(r *bufio.Reader, asked *http.Request) (rules.Outcome, float64, error) {
+	resp, err := http.ReadResponse(r, asked)
+	if err != nil {
+		return 0, 0, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostTotal+1))
+	resp.Body.Close()
+	switch {
+	case err != nil:
+		return 0, 0, err
+	case len(body) > mostTotal && resp.StatusCode == http.StatusOK:
+		return 0, 0, errTooLong
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return rules.Full, 0, nil
+	case resp.StatusCode != http.StatusOK:
+		return rules.ConnectFailed, 0, nil
+	}
+	total, err := strconv.ParseFloat(strings.TrimSpace(string(body)), 64)
+	if err != nil {
+		return 0, 0, fmt.Errorf("total: %w", err)
+	}
+	return rules.Served, total, nil
+}
--- /dev/null
+++ b/internal/gateway/discovery.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"linnetbend/internal/wire"
+	"linnetbend/rules"
+)
+
+const (
+	watchWait    = 4 * time.Second        // how long a watch may stand open
+	watchGrace   = 1 * time.Second        // and how long after that its answer may take
+	listTimeout  = 2 * time.Second        // for a call that does not wait
+	watchRetry   = 100 * time.Millisecond // pause after a failed call: a watch lapses after 200 ms
+	mostListing  = 4 << 20                // bytes of one answer
+	listPath     = "/registry/instances"
+	complaintGap = 10 * time.Second // between lines about a discovery that stays down
+)
+
+// Listing is discovery's list of backends, or the changes to it.
+type Listing struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // all there are, not changes alone
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one backend in discovery's form.
+type Instance struct {
+	ID          string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+var lifecycles = map[string]rules.BackendState{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
+
+// backendID derives the module's id from the name alone, so that all gateways
+// agree on it whatever order they hear of backends in.
+func backendID(instance string) rules.BackendID {
+	h := fnv.New32a()
+	io.WriteString(h, instance)
+	return rules.BackendID(h.Sum32())
+}
+
+// backend translates an entry. The module's clock is Unix time (see clock), so
+// a start needs its unit changed only.
+func (i Instance) backend(d *wire.Deployment) (rules.Backend, error) {
+	state, known := lifecycles[i.Lifecycle]
+	zone := slices.Index(d.Zones, i.Zone)
+	switch {
+	case i.ID == "" || !known:
+		return rules.Backend{}, fmt.Errorf("instance %q: lifecycle %q is not known", i.ID, i.Lifecycle)
+	case zone < 0 && state != rules.Gone:
+		// Danger: two unknown zones must not pass for one that drops repeats.
+		return rules.Backend{}, fmt.Errorf("instance %q: zone %q is not known", i.ID, i.Zone)
+	case math.IsNaN(i.Weight) || i.StartedAtMs < 0:
+		return rules.Backend{}, fmt.Errorf("instance %q: impossible weight or start", i.ID)
+	}
+	return rules.Backend{ID: backendID(i.ID), Zone: zone, Kind: slices.Index(d.Kinds, i.MachineType), Cell: i.Cell,
+		State: state, Weight: i.Weight, Born: float64(i.StartedAtMs) / 1000}, nil
+}
+
+// watcher follows discovery and hands on each answer.
+type watcher struct {
+	address string
+	client  *http.Client
+	since   int64
+	listed  bool // a whole list has come
+	heard   func(Listing)
+}
+
+func newWatcher(address string, heard func(Listing)) *watcher {
+	return &watcher{address: address, heard: heard,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
+}
+
+// run asks until ctx ends: once for the list, from then on for changes. A
+// failed call is made again soon, on a new connection, from the last version
+// that arrived; what changed meanwhile comes with its answer.
+func (w *watcher) run(ctx context.Context) {
+	defer w.client.CloseIdleConnections()
+	var complained time.Time
+	for ctx.Err() == nil {
+		l, err := w.ask(ctx)
+		if err == nil {
+			w.since, w.listed = l.Generation, true
+			w.heard(l)
+			continue
+		}
+		if ctx.Err() == nil && time.Since(complained) > complaintGap {
+			complained = time.Now()
+			log.Printf("discovery: %v", err)
+		}
+		w.client.CloseIdleConnections()
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+func (w *watcher) ask(ctx context.Context) (l Listing, err error) {
+	url, limit := "http://"+w.address+listPath, listTimeout
+	if w.listed {
+		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, watchWait.Milliseconds())
+		limit = watchWait + watchGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return l, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListing))
+	if err != nil {
+		return l, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		w.listed = false // the version may be the trouble: start from the whole list
+		return l, fmt.Errorf("status %s", resp.Status)
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		w.listed = false
+		return l, fmt.Errorf("list: %w", err)
+	}
+	if !w.listed {
+		l.Reset = true // a call without a version is answered with all there are
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/gateway/frontend.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"linnetbend/internal/wire"
+	"linnetbend/rules"
+)
+
+const (
+	mostHeader    = 16 << 10 // bytes
+	mostName      = 256      // bytes of an id or a key
+	mostPatience  = time.Hour
+	headerTimeout = 30 * time.Second
+	bodyTimeout   = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	readyPath     = "/health/ready"
+
+	idHeader     = "X-Correlation-Id"
+	classHeader  = "X-Service-Class"
+	planHeader   = "X-Tier"
+	clientHeader = "X-Api-Key"
+	keyHeader    = "Idempotency-Key"
+	termsHeader  = "X-Call-Terms"
+	repeatHeader = "X-Repeat"
+
+	customers = 1 << 33 // ids are below it
+)
+
+// exchange is one request of a client, from its last byte to its final answer.
+type exchange struct {
+	ask    rules.Request // the loop gives it its id
+	method string
+	uri    string
+	host   string
+	header http.Header // what goes on to a backend
+	body   []byte
+
+	// reply takes the one final answer; the loop sends it and never waits.
+	reply chan answer
+
+	// The loop's own:
+	open     bool // the final answer has not been given
+	out      int  // attempts out
+	attempts []*attempt
+}
+
+// answer is what a client is told.
+type answer struct {
+	status     int
+	retryAfter float64 // seconds; 0: no advice
+	header     http.Header
+	body       []byte
+}
+
+// frontend serves clients.
+type frontend struct {
+	loop      *Loop
+	deploy    *wire.Deployment
+	ready     atomic.Bool
+	leaving   atomic.Bool  // connections are closed after their answer
+	conns     atomic.Int64 // open
+	mostConns int64        // above it, connections are closed after their answer
+}
+
+func (f *frontend) server() *http.Server {
+	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout}
+}
+
+func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.leaving.Load() || f.conns.Load() > f.mostConns {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == readyPath {
+		if !f.ready.Load() || f.leaving.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+		return
+	}
+	x, status, err := f.read(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
+	if !f.loop.post(arrival{x}) {
+		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		return
+	}
+	select {
+	case a := <-x.reply:
+		a.write(w)
+	case <-r.Context().Done():
+		f.loop.post(clientGone{x})
+	case <-f.loop.stopped:
+		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+	}
+}
+
+// read takes a request in, whole, or says with which status it is turned down.
+func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*exchange, int, error) {
+	now := f.loop.clock.now()
+	x := &exchange{method: r.Method, uri: r.RequestURI, host: r.Host, reply: make(chan answer, 1)}
+	ask, err := f.parse(r)
+	if err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	x.ask = ask
+	class := &f.deploy.Classes[ask.Class]
+	switch key := r.Header.Get(keyHeader); {
+	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
+		class.Effect != rules.Repeatable && r.Method != http.MethodPost:
+		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s does not fit the class", r.Method)
+	case class.Effect == rules.ByKey && key == "":
+		return nil, http.StatusBadRequest, errors.New(keyHeader + " is missing")
+	case len(key) > mostName:
+		return nil, http.StatusBadRequest, errors.New(keyHeader + " is too long")
+	case r.ContentLength > mostBody:
+		return nil, http.StatusRequestEntityTooLarge, errTooLong
+	}
+	if r.ContentLength != 0 {
+		control := http.NewResponseController(w)
+		control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		x.body, err = readBody(http.MaxBytesReader(w, r.Body, mostBody), r.ContentLength)
+		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+			return nil, http.StatusRequestEntityTooLarge, errTooLong
+		} else if err != nil {
+			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
+		}
+		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
+		control.SetReadDeadline(time.Time{})
+		now = f.loop.clock.now() // a request's time counts from its last byte
+	}
+	x.ask.Sent = now
+	x.ask.Deadline += now - answerMargin
+	x.header = passedOn(r.Header)
+	return x, 0, nil
+}
+
+// parse reads the headers that the decisions need. Nothing has a default: a
+// request that is not understood might be charged to the wrong customer or
+// repeated against its class.
+func (f *frontend) parse(r *http.Request) (rules.Request, error) {
+	var q rules.Request
+	h := r.Header
+	if id := h.Get(idHeader); id == "" || len(id) > mostName {
+		return q, errors.New(idHeader + " is missing or too long")
+	}
+	class := h.Get(classHeader)
+	if q.Class = index(f.deploy.ClassNames, class); q.Class < 0 {
+		return q, errors.New(classHeader + " names no class")
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(r.RequestURI, "//") {
+		return q, errors.New("the path is not one of the class")
+	}
+	if q.Plan = index(f.deploy.PlanNames, h.Get(planHeader)); q.Plan < 0 {
+		return q, errors.New(planHeader + " names no plan")
+	}
+	customer := h.Get(clientHeader)
+	n, err := strconv.ParseUint(customer, 16, 64)
+	if err != nil || len(customer) != 16 || n >= customers {
+		return q, errors.New(clientHeader + " is not the number of a customer")
+	}
+	q.Customer = rules.CustomerID(n)
+	left, err := strconv.ParseInt(h.Get(leftHeader), 10, 64)
+	if err != nil || left <= 0 || left > mostPatience.Milliseconds() {
+		return q, errors.New(leftHeader + " is not a time in milliseconds")
+	}
+	q.Deadline = float64(left) / 1000 // from when it is whole
+	q.Repeat = h.Get(repeatHeader) == "1"
+	return q, f.terms(&q, h.Get(termsHeader))
+}
+
+// terms reads the units of a request and the gateways of its customer.
+func (f *frontend) terms(q *rules.Request, text string) error {
+	for part := range strings.SplitSeq(text, ",") {
+		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		var err error
+		switch key {
+		case "units":
+			q.Units, err = strconv.ParseFloat(value, 64)
+		case "spread":
+			q.Gateways, err = strconv.Atoi(value)
+		case "first":
+			q.FirstPeer, err = strconv.Atoi(value)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %s is not a number", termsHeader, key)
+		}
+	}
+	most := f.deploy.MaxUnits
+	if most <= 0 {
+		most = math.MaxInt32
+	}
+	if !(q.Units > 0 && q.Units <= most) || q.Gateways < 1 || q.Gateways > f.deploy.Fleet ||
+		q.FirstPeer < 0 || q.FirstPeer >= f.deploy.Fleet {
+		return errors.New(termsHeader + ": units, spread or first is missing or out of range")
+	}
+	return nil
+}
+
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// hopByHop are the headers that end at this gateway.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// passedOn returns the headers for the other side: all but those that belong to
+// the connection. It uses up h.
+func passedOn(h http.Header) http.Header {
+	for _, named := range h["Connection"] {
+		for name := range strings.SplitSeq(named, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name != idHeader && name != keyHeader {
+				delete(h, name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+	return h
+}
+
+// write gives the answer to the client.
+func (a answer) write(w http.ResponseWriter) {
+	h := w.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	if a.status != http.StatusOK {
+		if a.retryAfter > 0 {
+			h["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(a.retryAfter*1000)/1000, 'f', -1, 64)}
+		}
+		h["Content-Length"] = []string{"0"}
+		w.WriteHeader(a.status)
+		return
+	}
+	if _, typed := h["Content-Type"]; !typed {
+		h["Content-Type"] = nil // the backend named none, and guessing costs time
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	w.WriteHeader(a.status)
+	w.Write(a.body) // an error means that the client has left
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"linnetbend/rules"
+)
+
+const (
+	reserved    = 64                     // descriptors for the counter, discovery and the runtime
+	clientShare = 0.55                   // of the other descriptors, for clients; backends get the rest
+	softShare   = 0.8                    // of the clients' part; above it connections close after an answer
+	knownAfter  = 3 * time.Second        // without discovery, the list known from before has to do
+	stayFor     = 600 * time.Millisecond // new connections still come so long after a stop was asked for
+	stopMargin  = 500 * time.Millisecond // for the last answers after the longest deadline
+)
+
+// Run serves clients until ctx ends, then answers what it holds and returns.
+func Run(ctx context.Context, c *Config) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("clients: %w", err)
+	}
+	return serve(ctx, c, listener)
+}
+
+func serve(ctx context.Context, c *Config, listener net.Listener) error {
+	clients := int(float64(c.Sockets-reserved) * clientShare)
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients)
+	var calls *counter
+	if c.Settings.Counter {
+		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
+	}
+	front := &frontend{deploy: &c.Deployment, mostConns: int64(softShare * float64(clients))}
+	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
+
+	inner, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	front.loop.list(c.Known, rules.CachedList)
+	wg.Go(func() { front.loop.run(inner) })
+	wg.Go(func() { pools.sweep(inner) })
+	if calls != nil {
+		wg.Go(func() { calls.run(inner) })
+	}
+	watch := newWatcher(c.Discovery, func(l Listing) {
+		kind := rules.Delta
+		if l.Reset {
+			kind = rules.FullList
+		}
+		front.loop.post(news{l, kind})
+	})
+	wg.Go(func() { watch.run(inner) })
+	known := time.AfterFunc(knownAfter, func() {
+		if len(c.Known.Instances) > 0 {
+			front.ready.Store(true)
+		}
+	})
+	defer known.Stop()
+
+	server := front.server()
+	limited := netutil.LimitListener(listener, clients)
+	server.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			front.conns.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			front.conns.Add(-1)
+		}
+	}
+	failed := make(chan error, 1)
+	wg.Go(func() { failed <- server.Serve(limited) })
+	select {
+	case err := <-failed:
+		return fmt.Errorf("clients: %w", err)
+	case <-ctx.Done():
+	}
+	return shutdown(c, front, server)
+}
+
+// shutdown takes what still comes for a while, answers what is held, and ends.
+func shutdown(c *Config, front *frontend, server *http.Server) error {
+	front.leaving.Store(true)
+	time.Sleep(stayFor)
+	longest := 0.0
+	for _, class := range c.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), seconds(longest+c.AnswerSlack)+stopMargin)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		server.Close()
+		return fmt.Errorf("clients that were still open at the end: %w", err)
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"container/heap"
+	"context"
+	"log"
+	"net/http"
+	"time"
+
+	"linnetbend/internal/wire"
+	"linnetbend/rules"
+)
+
+const (
+	inboxSize    = 1024
+	answerMargin = 0.005 // seconds kept of a deadline for the way to the client, the loop and the write
+	sameMoment   = 0.001 // a cancel so close before an attempt's time-out is one
+)
+
+// What sockets tell the loop.
+type (
+	arrival     struct{ x *exchange }
+	clientGone  struct{ x *exchange }
+	attemptDone struct {
+		a      *attempt
+		result result
+	}
+	callDone struct {
+		k       *call
+		outcome rules.Outcome
+		total   float64
+	}
+	news struct {
+		listing Listing
+		kind    rules.ListKind
+	}
+)
+
+// Loop is the one owner of the decision module. All that happens comes to it
+// in order; it runs the module's actions and waits for no socket.
+type Loop struct {
+	clock    clock
+	deploy   *wire.Deployment
+	gateway  *rules.Gateway
+	pools    *pools
+	counter  *counter
+	onListed func()
+
+	inbox   chan any
+	stopped chan struct{} // closed when run ends
+
+	live    map[rules.RequestID]*exchange // until the last attempt has ended
+	nextID  rules.RequestID
+	names   map[rules.BackendID]string // whose id it is
+	timers  timerHeap
+	actions []rules.Action
+	pending []rules.Event // events that actions brought about
+}
+
+func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
+	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
+		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
+		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{}}
+	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
+	l.act(l.actions)
+	return l
+}
+
+// post tells the loop something. It returns false once the loop has ended.
+func (l *Loop) post(m any) bool {
+	select {
+	case l.inbox <- m:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
+// run works until ctx ends.
+func (l *Loop) run(ctx context.Context) {
+	defer close(l.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.inbox:
+			l.take(m)
+		case <-timer.C:
+		}
+		now := l.clock.now()
+		for len(l.timers) > 0 && l.timers[0].at <= now {
+			l.due(heap.Pop(&l.timers).(timerEntry))
+		}
+		if len(l.timers) > 0 {
+			timer.Reset(time.Until(l.clock.at(l.timers[0].at)))
+		}
+	}
+}
+
+func (l *Loop) take(m any) {
+	switch m := m.(type) {
+	case arrival:
+		l.arrive(m.x)
+	case clientGone:
+		if m.x.open {
+			m.x.open = false
+			l.handle(rules.ClientGone{Request: m.x.ask.ID})
+			l.drop(m.x)
+		}
+	case attemptDone:
+		l.endAttempt(m.a, m.result)
+	case callDone:
+		l.endCall(m.k, m.outcome, m.total)
+	case news:
+		l.list(m.listing, m.kind)
+	}
+}
+
+// handle gives the module an event, and then what its actions brought about.
+func (l *Loop) handle(ev rules.Event) {
+	l.pending = append(l.pending, ev)
+	if len(l.pending) > 1 {
+		return // an outer call is at it
+	}
+	for n := 0; n < len(l.pending); n++ {
+		l.actions = l.gateway.Handle(l.clock.now(), l.pending[n], l.actions[:0])
+		l.act(l.actions)
+	}
+	clear(l.pending)
+	l.pending = l.pending[:0]
+}
+
+// arrive gives a request an id of its own and hands it to the module.
+func (l *Loop) arrive(x *exchange) {
+	for taken := true; taken; _, taken = l.live[l.nextID] {
+		l.nextID++
+	}
+	x.ask.ID, x.open = l.nextID, true
+	l.live[x.ask.ID] = x
+	l.handle(x.ask)
+}
+
+// list takes in what discovery told. Connections follow it before the module
+// hears of it.
+func (l *Loop) list(told Listing, kind rules.ListKind) {
+	ev := rules.Backends{Kind: kind}
+	kept := map[rules.BackendID]bool{}
+	for _, i := range told.Instances {
+		b, err := i.backend(l.deploy)
+		if err != nil {
+			log.Printf("discovery: %v", err)
+			continue
+		}
+		if name, known := l.names[b.ID]; known && name != i.ID {
+			log.Printf("discovery: instances %q and %q have one id; the second is left out", name, i.ID)
+			continue
+		}
+		kept[b.ID] = true
+		ev.Entries = append(ev.Entries, b)
+		if b.State == rules.Ready {
+			l.names[b.ID] = i.ID
+			l.pools.update(b.ID, i.HostPort, b.Born)
+		} else {
+			delete(l.names, b.ID)
+			l.pools.remove(b.ID)
+		}
+	}
+	if kind != rules.Delta {
+		for id := range l.names {
+			if !kept[id] {
+				delete(l.names, id)
+				l.pools.remove(id)
+			}
+		}
+	}
+	l.handle(ev)
+	if kind != rules.CachedList {
+		l.onListed()
+	}
+}
+
+func (l *Loop) act(actions []rules.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case rules.Send:
+			l.send(a)
+		case rules.Cancel:
+			l.cancel(a)
+		case rules.Refuse:
+			l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
+		case rules.Fail:
+			l.answer(a.Request, answer{status: http.StatusBadGateway})
+		case rules.SetTimer:
+			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token})
+		case rules.Count:
+			l.count(a)
+		case rules.Log:
+			log.Print(a.Text)
+		case rules.Subscribe: // the watch always runs
+		}
+	}
+}
+
+// send starts an attempt. What is over or was tried too often gets none.
+func (l *Loop) send(s rules.Send) {
+	x := l.live[s.Request]
+	if x == nil {
+		log.Printf("request %d is not known", s.Request)
+		return
+	}
+	now := l.clock.now()
+	a := &attempt{x: x, number: len(x.attempts), backend: s.Backend, sent: now, deadline: x.ask.Deadline}
+	if s.Timeout > 0 {
+		a.deadline = min(a.deadline, now+s.Timeout)
+	}
+	a.until = l.clock.at(a.deadline)
+	x.attempts = append(x.attempts, a)
+	x.out++
+	if !x.open || a.number >= max(l.deploy.MaxAttempts, 1) || a.deadline <= now {
+		l.endAttempt(a, result{outcome: rules.Moot})
+		return
+	}
+	a.ctx, a.cancel = context.WithDeadline(context.Background(), a.until)
+	l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	go func() { // ends by a.until, or when the attempt is called off
+		res := l.pools.attempt(a)
+		a.cancel()
+		l.post(attemptDone{a, res})
+	}()
+}
+
+// endAttempt takes an attempt's one end; what comes after it is dropped.
+func (l *Loop) endAttempt(a *attempt, res result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	x := a.x
+	x.out--
+	if res.outcome == rules.Served && x.open {
+		l.answer(x.ask.ID, answer{status: http.StatusOK, header: passedOn(res.header), body: res.body})
+	}
+	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
+		Took: l.clock.now() - a.sent, Done: !x.open})
+	l.drop(x)
+}
+
+func (l *Loop) cancel(c rules.Cancel) {
+	x := l.live[c.Request]
+	if x == nil || c.Attempt >= len(x.attempts) || x.attempts[c.Attempt].ended {
+		return
+	}
+	a := x.attempts[c.Attempt]
+	a.callOff()
+	outcome := rules.Cancelled
+	if l.clock.now() >= a.deadline-sameMoment {
+		outcome = rules.TimedOut // the module learns from it
+	}
+	l.endAttempt(a, result{outcome: outcome})
+}
+
+// answer gives a request its final answer, if it has none.
+func (l *Loop) answer(id rules.RequestID, a answer) {
+	x := l.live[id]
+	if x == nil || !x.open {
+		return
+	}
+	x.open = false
+	x.reply <- a // it has room for one, and one is all it gets
+	l.drop(x)
+}
+
+// drop forgets a request that has its answer and nothing out.
+func (l *Loop) drop(x *exchange) {
+	if !x.open && x.out == 0 {
+		delete(l.live, x.ask.ID)
+	}
+}
+
+func (l *Loop) count(c rules.Count) {
+	k := &call{name: c.Name, amount: c.Amount, sent: l.clock.now(),
+		keep: min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)}
+	k.report = func(k *call, o rules.Outcome, total float64) { l.post(callDone{k, o, total}) }
+	if l.counter == nil || !l.counter.add(k) {
+		l.endCall(k, rules.Full, 0)
+		return
+	}
+	l.timers.add(timerEntry{at: k.sent + l.deploy.CounterTimeout, call: k})
+}
+
+func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	l.handle(rules.CounterReply{Name: k.name, Outcome: o, Total: total, Took: l.clock.now() - k.sent})
+}
+
+func (l *Loop) due(t timerEntry) {
+	switch {
+	case t.attempt != nil:
+		if !t.attempt.ended {
+			t.attempt.callOff()
+			l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
+		}
+	case t.call != nil:
+		if !t.call.ended {
+			t.call.givenUp.Store(true)
+			l.endCall(t.call, rules.TimedOut, 0)
+		}
+	default:
+		l.handle(rules.Timer{Token: t.token})
+	}
+}
+
+// timerEntry is a timer of the module's, or the time-out of an attempt or call.
+type timerEntry struct {
+	at      float64
+	token   uint64
+	attempt *attempt
+	call    *call
+}
+
+// timerHeap has the earliest timer first.
+type timerHeap []timerEntry
+
+func (h *timerHeap) add(t timerEntry)  { heap.Push(h, t) }
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(t any)        { *h = append(*h, t.(timerEntry)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timerEntry{}
+	*h = old[:len(old)-1]
+	return t
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,6 +12,7 @@
 	Allowed struct {
 		Cancel          bool    `json:"cancel"`
 		ConnectTimeoutS float64 `json:"connectTimeoutS"`
+		KeepaliveS      float64 `json:"keepaliveS"`
 		MaxOpen         int     `json:"maxOpen"`
 		MaxRetryAfterS  float64 `json:"maxRetryAfterS"`
 		MayDuplicate    bool    `json:"mayDuplicate"`
@@ -25,6 +26,7 @@
 		Effect     string  `json:"effect"`
 		KeyScope   string  `json:"keyScope"`
 		LateWorth  float64 `json:"lateWorth"`
+		Name       string  `json:"name"`
 		ObjectiveS float64 `json:"objectiveS"`
 		Points     float64 `json:"points"`
 		Streamed   bool    `json:"streamed"`
@@ -43,7 +45,9 @@
 		Fields []string `json:"fields"`
 		How    string   `json:"how"`
 	} `json:"loadReport"`
-	Locality    int `json:"locality"`
+	Kinds       []string `json:"kinds"`
+	Localities  []string `json:"localities"`
+	Locality    int      `json:"locality"`
 	Obligations struct {
 		AnswerSlackS float64 `json:"answerSlackS"`
 		ColdFrom     float64 `json:"coldFrom"`
@@ -58,6 +62,7 @@
 		CapSlack      float64 `json:"capSlack"`
 		CeilingBurst  float64 `json:"ceilingBurst"`
 		Depth         float64 `json:"depth"`
+		Name          string  `json:"name"`
 		NeverOverRate float64 `json:"neverOverRate"`
 		OverWorth     float64 `json:"overWorth"`
 		Pays          float64 `json:"pays"`
@@ -84,13 +89,41 @@
 	"cpu_share": rules.LoadCPU, "svc_ms": rules.LoadServiceMillis,
 	"served_ps": rules.LoadServedPerSecond, "failed_ps": rules.LoadErrorsPerSecond}
 
+// Deployment is all that the settings state: what the decisions need, and the
+// names by which sockets speak of the same things, in the settings' order.
+type Deployment struct {
+	rules.Settings
+	ClassNames, PlanNames, Zones, Kinds []string
+	KeepAlive                           float64 // seconds; idle connections are closed after it
+}
+
 // ParseSettings reads the settings of an Attach record.
 func ParseSettings(text []byte) (rules.Settings, error) {
+	d, err := ParseDeployment(text)
+	return d.Settings, err
+}
+
+// ParseDeployment reads the settings with the names in them.
+func ParseDeployment(text []byte) (Deployment, error) {
 	var o options
 	if err := json.Unmarshal(text, &o); err != nil {
-		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+		return Deployment{}, fmt.Errorf("settings: %w", err)
+	}
+	d := Deployment{Zones: o.Localities, Kinds: o.Kinds, KeepAlive: o.Allowed.KeepaliveS}
+	for _, c := range o.Classes {
+		d.ClassNames = append(d.ClassNames, c.Name)
+	}
+	for _, p := range o.Packages {
+		d.PlanNames = append(d.PlanNames, p.Name)
 	}
-	s := o.settings()
+	var err error
+	d.Settings, err = o.settings()
+	return d, err
+}
+
+// settings translates the options into what the decisions need.
+func (o *options) settings() (rules.Settings, error) {
+	s := o.figures()
 	for _, c := range o.Classes {
 		effect, known := effects[c.Effect]
 		if !known {
@@ -115,8 +148,8 @@
 	return s, nil
 }
 
-// settings translates all that is neither a class nor a plan.
-func (o *options) settings() rules.Settings {
+// figures translates all that is neither a class nor a plan.
+func (o *options) figures() rules.Settings {
 	s := rules.Settings{
 		Rank: o.Rank, Fleet: o.FleetSize, Zone: o.Locality, Tick: o.TickS,
 		AskDiscovery: o.Discovery == "ask",
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,11 +127,14 @@
 // request takes in a try. Two timers see to it that it is answered in time.
 func (g *Gateway) request(r Request) {
 	c, p := &g.set.Classes[r.Class], &g.set.Plans[r.Plan]
+	if r.Sent == 0 {
+		r.Sent = g.now
+	}
 	j := &job{Request: r, class: c}
 	j.level, _ = slices.BinarySearch(g.worths, c.Worth*p.Price)
 	j.giveUp = r.Deadline - 2*g.set.Tick
 	if c.LateWorth == 0 && c.AimStretch == 0 {
-		j.giveUp = min(j.giveUp, g.now+c.Aim-g.elapsed(r, c))
+		j.giveUp = min(j.giveUp, r.Sent+c.Aim-g.elapsed(r, c))
 	}
 	g.jobs[r.ID] = j
 	g.arrived[j.level]++
@@ -156,7 +159,7 @@
 // Danger: a repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
 // requests that may still earn; a fresh try must not be taken for one, so an unknown patience says nothing.
 func (g *Gateway) elapsed(r Request, c *Class) float64 {
-	left, usual := r.Deadline-g.now, &g.patience[r.Class*len(g.set.Plans)+r.Plan]
+	left, usual := r.Deadline-r.Sent, &g.patience[r.Class*len(g.set.Plans)+r.Plan]
 	same := func(x float64) bool { return math.Abs(left-x) < 2*g.set.Tick }
 	if same(usual.last) {
 		usual.known = left
--- a/rules/types.go
+++ b/rules/types.go
@@ -183,6 +183,7 @@
 	Units     float64
 	FirstPeer int // the gateways of this customer are Gateways in a row from here
 	Gateways  int
+	Sent      float64 // clock time at which the client sent it; 0: just now
 	Deadline  float64 // clock time at which the client stops waiting
 	Repeat    bool    // marked by the client as another try
 }
