Test backends and the counter over loopback; look at idle counter connections

A counter connection that the counter closed early was noticed only by the failed call (counter.go, lane): the reader reads only while a call is out. It is now looked at before use, as backends' connections were. An attempt's context no longer sets a timer of its own beside the loop's.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -96,21 +96,26 @@
 	idle time.Time // since when
 }
 
-// alive looks, without waiting, whether an idle connection still stands.
-// Danger: a request written to one that the backend has closed ends as a
-// reset, which is no proof that it did not run.
-func (c *backendConn) alive() bool {
-	if c.raw == nil {
+// alive looks, without waiting, whether an idle connection still stands and has
+// nothing to say. Danger: what is written to one that the other side has closed
+// ends as a reset, which is no proof that it had no effect.
+func alive(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
 		return true
 	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
 	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
+	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && quiet && c.r.Buffered() == 0
+	return err == nil && quiet
 }
 
 // target is one life of a backend at one address. All of its connections end
@@ -259,7 +264,7 @@
 	for n := len(t.idle); n > 0; n = len(t.idle) {
 		c := t.idle[n-1]
 		t.idle = t.idle[:n-1]
-		if time.Since(c.idle) < p.idleLimit && c.alive() {
+		if time.Since(c.idle) < p.idleLimit && alive(c.Conn) {
 			c.idle = time.Time{}
 			p.mu.Unlock()
 			return c, nil
@@ -298,11 +303,7 @@
 		return nil, err
 	}
 	left := &io.LimitedReader{R: conn}
-	c := &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: t}
-	if s, ok := conn.(syscall.Conn); ok {
-		c.raw, _ = s.SyscallConn()
-	}
-	return c, nil
+	return &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: t}, nil
 }
 
 // attempt sends the request and waits for what comes back. An error before the
--- /dev/null
+++ b/internal/gateway/backend_test.go
@@ -0,0 +1,313 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"linnetbend/rules"
+)
+
+// patience bounds every wait of a test; none is expected to last so long.
+const patience = 20 * time.Second
+
+// peer is the other side of connections: it hands each one on, and closes what
+// is left at the end of the test.
+type peer struct {
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+func newPeer(t *testing.T) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{listener: l, conns: make(chan net.Conn, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			p.conns <- c
+		}
+	}()
+	return p
+}
+
+func (p *peer) address() string { return p.listener.Addr().String() }
+
+func (p *peer) accept(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c := wait(t, p.conns, "a connection")
+	c.SetDeadline(time.Now().Add(patience))
+	return c, bufio.NewReader(c)
+}
+
+func wait[T any](t *testing.T, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("no %s came", what)
+		panic("unreachable")
+	}
+}
+
+func readRequest(t *testing.T, r *bufio.Reader) (*http.Request, []byte) {
+	t.Helper()
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return req, body
+}
+
+func newAttempt(timeout time.Duration) *attempt {
+	a := &attempt{backend: 1, until: time.Now().Add(timeout), x: &exchange{method: "POST", uri: "/booking/7?a=%2F",
+		host: "origin.svc", header: http.Header{idHeader: {"id-1"}}, body: []byte("pickup")}}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
+}
+
+func poolFor(t *testing.T, address string) *pools {
+	p := newPools(patience, time.Minute, 8)
+	p.update(1, address, 0)
+	t.Cleanup(func() { p.remove(1) })
+	return p
+}
+
+func start(p *pools, a *attempt) <-chan result {
+	done := make(chan result, 1)
+	go func() { done <- p.attempt(a) }()
+	return done
+}
+
+// What comes back decides whether a request may be sent again: each row is one
+// line of the protocol's table.
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", mostBody+1)
+	for _, c := range []struct {
+		name, reply string
+		want        rules.Outcome
+		body        string
+		kept        bool // the connection
+	}{
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", rules.Served, "ok", true},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", rules.Served, "ok", true},
+		{"served, then closed", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", rules.Served, "ok", false},
+		{"an interim answer first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", rules.Served, "ok", true},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Full, "", true},
+		{"over already", "HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Full, "", true},
+		{"503 without proof", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
+		{"504 without proof", "HTTP/1.1 504 No\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
+		{"500 never proves it", "HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
+		{"closed without a word", "", rules.Broken, "", false},
+		{"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", rules.Broken, "", false},
+		{"body too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + long, rules.Broken, "", false},
+		{"headers without end", "HTTP/1.1 200 OK\r\nX: " + long + long, rules.Broken, "", false},
+		{"no HTTP", "SSH-2.0\r\n\r\n", rules.Broken, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			backend := newPeer(t)
+			p := poolFor(t, backend.address())
+			done := start(p, newAttempt(patience))
+			conn, r := backend.accept(t)
+			readRequest(t, r)
+			go func() {
+				io.WriteString(conn, c.reply)
+				if !c.kept {
+					conn.(*net.TCPConn).CloseWrite()
+				}
+			}()
+			got := wait(t, done, "result")
+			if got.outcome != c.want || string(got.body) != c.body {
+				t.Errorf("outcome %d, body of %d bytes; want %d and %q", got.outcome, len(got.body), c.want, c.body)
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if kept := len(p.targets[1].idle) == 1 && p.open == 1; kept != c.kept {
+				t.Errorf("connection kept: %t, %d open", kept, p.open)
+			}
+		})
+	}
+}
+
+func TestRequestUnchanged(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	a := newAttempt(patience)
+	a.x.header[keyHeader] = []string{"key-1"}
+	a.x.body = bytes.Repeat([]byte{0, 255, '\r', '\n'}, mostBody/4)
+	done := start(p, a)
+	conn, r := backend.accept(t)
+	req, body := readRequest(t, r)
+	if req.Method != "POST" || req.RequestURI != a.x.uri || req.Host != "origin.svc" || !bytes.Equal(body, a.x.body) ||
+		req.Header.Get(idHeader) != "id-1" || req.Header.Get(keyHeader) != "key-1" || req.Header.Get(leftHeader) == "" {
+		t.Errorf("got %s %s with %d bytes and %v", req.Method, req.RequestURI, len(body), req.Header)
+	}
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wait(t, done, "result")
+}
+
+func TestNeverConnected(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	backend.listener.Close()
+	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
+		t.Errorf("refused: outcome %d", got.outcome)
+	}
+	p.remove(1)
+	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed || p.open != 0 {
+		t.Errorf("not listed: outcome %d, %d open", got.outcome, p.open)
+	}
+}
+
+// A machine that went silent keeps its connections open: only our clock ends
+// the wait, and the connection with it.
+func TestSilentBackend(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	got := p.attempt(newAttempt(50 * time.Millisecond))
+	if got.outcome != rules.TimedOut || p.open != 0 {
+		t.Errorf("outcome %d, %d open", got.outcome, p.open)
+	}
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection of a given-up attempt: %v", err)
+	}
+}
+
+// After callOff has returned the request has its final answer, and not a byte
+// may leave for it: neither by a dial that comes up later, nor on a connection.
+func TestCalledOff(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	a := newAttempt(patience)
+	a.callOff()
+	a.ctx = context.Background() // as if the dial had come up all the same
+	p.attempt(a)
+	conn, r := backend.accept(t)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("sent after the call-off: %v", err)
+	}
+	conn.Close()
+
+	a = newAttempt(patience)
+	done := start(p, a)
+	_, r = backend.accept(t)
+	readRequest(t, r)
+	a.callOff()
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection after the call-off: %v", err)
+	}
+	wait(t, done, "result")
+	if p.open != 0 {
+		t.Errorf("%d connections open", p.open)
+	}
+}
+
+// A backend may close an idle connection. A request written to it would end as
+// a reset and could not be sent again; so the socket is looked at first.
+func TestClosedIdleConnection(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wait(t, done, "result")
+	conn.Close()
+	until := time.Now().Add(patience)
+	for idle := p.targets[1].idle[0]; alive(idle.Conn) && time.Now().Before(until); {
+		time.Sleep(time.Millisecond) // the end of the connection is on its way through the kernel
+	}
+	done = start(p, newAttempt(patience))
+	conn, r = backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if got := wait(t, done, "result"); got.outcome != rules.Served {
+		t.Errorf("outcome %d", got.outcome)
+	}
+}
+
+// The process behind an old connection is gone once its backend has started
+// anew; a request written there is lost or in doubt.
+func TestNewLife(t *testing.T) {
+	backend, moved := newPeer(t), newPeer(t)
+	p := poolFor(t, backend.address())
+	out := start(p, newAttempt(patience))
+	_, r := backend.accept(t)
+	readRequest(t, r)
+	p.update(1, backend.address(), 5)
+	if got := wait(t, out, "result"); got.outcome != rules.Broken {
+		t.Errorf("out at the old life: outcome %d", got.outcome)
+	}
+	for n, address := range []string{backend.address(), moved.address()} {
+		p.update(1, address, 5)
+		done := start(p, newAttempt(patience))
+		conn, r := []*peer{backend, moved}[n].accept(t)
+		readRequest(t, r)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if got := wait(t, done, "result"); got.outcome != rules.Served || p.open != 1 {
+			t.Errorf("new life %d: outcome %d, %d open", n, got.outcome, p.open)
+		}
+	}
+}
+
+// A draining backend gets nothing new, but what it has it may finish.
+func TestDrain(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	out := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	p.remove(1)
+	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
+		t.Errorf("new work: outcome %d", got.outcome)
+	}
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if got := wait(t, out, "result"); got.outcome != rules.Served || p.open != 0 {
+		t.Errorf("work in hand: outcome %d, %d open", got.outcome, p.open)
+	}
+}
+
+func TestIdleLimitAndMostOpen(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	p.mostOpen = 1
+	first := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
+		t.Errorf("past the most connections: outcome %d", got.outcome)
+	}
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wait(t, first, "result")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closeOldest(p.targets[1], time.Now().Add(-time.Hour)); p.open != 1 {
+		t.Errorf("a fresh connection was closed")
+	}
+	if p.closeOldest(p.targets[1], time.Now().Add(time.Hour)); p.open != 0 || len(p.targets[1].idle) != 0 {
+		t.Errorf("%d open after the idle limit", p.open)
+	}
+}
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -101,7 +101,7 @@
 				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
 				continue
 			}
-			if conn != nil && (conn.dead.Load() || time.Since(used) > counterIdle) {
+			if conn != nil && !conn.usable(used) {
 				conn.Close()
 				conn = nil
 			}
@@ -126,7 +126,8 @@
 	net.Conn
 	host    string
 	dead    atomic.Bool
-	waiting chan *call // written, in order
+	out     atomic.Int64 // calls without an answer
+	waiting chan *call   // written, in order
 	once    sync.Once
 }
 
@@ -148,8 +149,14 @@
 	return c.Conn.Close()
 }
 
-// call writes one call. It joins the line before it is written, lest the
-// answer overtake it; where the line is full the connection is stuck.
+// usable tells whether another call may be written. The counter may close an
+// idle connection sooner than agreed, and a call written then is in doubt.
+func (c *counterConn) usable(used time.Time) bool {
+	return !c.dead.Load() && time.Since(used) <= counterIdle && (c.out.Load() > 0 || alive(c.Conn))
+}
+
+// call writes one call. Its answer is read only once it stands in the line;
+// where the line is full the connection is stuck.
 func (c *counterConn) call(k *call) {
 	if len(c.waiting) == cap(c.waiting) {
 		k.report(k, rules.ConnectFailed, 0)
@@ -157,6 +164,7 @@
 	}
 	text := fmt.Appendf(nil, "POST %s%016x?add=%s&ttl_ms=%d HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
 		countPath, k.name, strconv.FormatFloat(k.amount, 'f', -1, 64), k.keep.Milliseconds(), c.host)
+	c.out.Add(1)
 	c.SetWriteDeadline(time.Now().Add(counterStuck))
 	if _, err := c.Write(text); err != nil {
 		// The last byte was not written, so nothing was added.
@@ -187,6 +195,7 @@
 			c.dead.Store(true)
 			c.Conn.Close()
 		}
+		c.out.Add(-1)
 		k.report(k, outcome, total)
 	}
 }
--- /dev/null
+++ b/internal/gateway/counter_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"linnetbend/rules"
+)
+
+type reply struct {
+	amount  float64
+	outcome rules.Outcome
+	total   float64
+}
+
+func startCounter(t *testing.T, address string) (c *counter, add func(amount float64) *call, replies chan reply) {
+	c = newCounter(address, patience)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { c.run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	replies = make(chan reply, 64)
+	return c, func(amount float64) *call {
+		k := &call{name: 7, amount: amount, keep: time.Minute}
+		k.report = func(k *call, o rules.Outcome, total float64) { replies <- reply{k.amount, o, total} }
+		if !c.add(k) {
+			t.Fatal("the lane is full")
+		}
+		return k
+	}, replies
+}
+
+func total(conn net.Conn, status int, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func TestCounterPipeline(t *testing.T) {
+	far := newPeer(t)
+	_, add, replies := startCounter(t, far.address())
+	late := add(1)
+	add(-2.5)
+	add(3)
+	add(4)
+	conn, r := far.accept(t)
+	for i, want := range []string{"1", "-2.5", "3", "4"} {
+		req, _ := readRequest(t, r) // all before the first answer: calls are pipelined
+		if uri := "/v1/count/0000000000000007?add=" + want + "&ttl_ms=60000"; req.RequestURI != uri {
+			t.Errorf("call %d: %s, want %s", i, req.RequestURI, uri)
+		}
+	}
+	// The first is given up by the loop. Its late answer keeps its place, lest each
+	// later call be told the total of the one before.
+	late.givenUp.Store(true)
+	total(conn, 200, "1")
+	total(conn, 200, "-1.5\n")
+	total(conn, 503, "")
+	total(conn, 404, "")
+	for _, want := range []reply{{1, rules.Served, 1}, {-2.5, rules.Served, -1.5}, {3, rules.Full, 0}, {4, rules.ConnectFailed, 0}} {
+		if got := wait(t, replies, "reply"); got != want {
+			t.Errorf("reply %v, want %v", got, want)
+		}
+	}
+	// A call whose answer is cut off may have been added.
+	add(5)
+	readRequest(t, r)
+	conn.Close()
+	if got := wait(t, replies, "reply"); got.outcome != rules.TimedOut {
+		t.Errorf("reply after a break: %v", got)
+	}
+	// The next goes out on a new connection.
+	add(6)
+	conn, r = far.accept(t)
+	readRequest(t, r)
+	total(conn, 200, "no number")
+	if got := wait(t, replies, "reply"); got.outcome != rules.TimedOut {
+		t.Errorf("reply to a total that is no number: %v", got)
+	}
+}
+
+// Nothing was written, so nothing was added: the module may count on it.
+func TestCounterAway(t *testing.T) {
+	far := newPeer(t)
+	far.listener.Close()
+	_, add, replies := startCounter(t, far.address())
+	add(1)
+	if got := wait(t, replies, "reply"); got.outcome != rules.ConnectFailed {
+		t.Errorf("reply %v", got)
+	}
+}
+
+// A call that was given up before it was written must not be added later.
+func TestCounterGivenUpUnwritten(t *testing.T) {
+	far := newPeer(t)
+	c := newCounter(far.address(), patience)
+	reported := make(chan rules.Outcome, 2)
+	report := func(_ *call, o rules.Outcome, _ float64) { reported <- o }
+	k := &call{name: 1, amount: 1, keep: time.Minute, report: report}
+	k.givenUp.Store(true)
+	next := &call{name: 1, amount: 2, keep: time.Minute, report: report}
+	c.add(k)
+	c.add(next)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.run(ctx)
+	_, r := far.accept(t)
+	if req, _ := readRequest(t, r); req.URL.Query().Get("add") != "2" {
+		t.Errorf("written: %s", req.RequestURI)
+	}
+	if got := wait(t, reported, "report"); got != rules.TimedOut {
+		t.Errorf("outcome %d", got)
+	}
+}
+
+// The counter may close an idle connection; a call written to it would be in
+// doubt.
+func TestCounterClosedIdle(t *testing.T) {
+	far := newPeer(t)
+	c := newCounter(far.address(), patience)
+	conn, err := c.dial(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	other, _ := far.accept(t)
+	if !conn.usable(time.Now()) {
+		t.Error("a fresh connection is not usable")
+	}
+	if conn.usable(time.Now().Add(-counterIdle - time.Second)) {
+		t.Error("usable after the idle limit")
+	}
+	other.Close()
+	until := time.Now().Add(patience)
+	for alive(conn.Conn) && time.Now().Before(until) {
+		time.Sleep(time.Millisecond) // the end of the connection is on its way through the kernel
+	}
+	if conn.usable(time.Now()) {
+		t.Error("usable after the counter closed it")
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -222,7 +222,7 @@
 		l.endAttempt(a, result{outcome: rules.Moot})
 		return
 	}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), a.until)
+	a.ctx, a.cancel = context.WithCancel(context.Background())
 	l.timers.add(timerEntry{at: a.deadline, attempt: a})
 	go func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
