--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,302 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rig is a whole gateway between loopback sockets.
+type rig struct {
+	address  string
+	registry *registry
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// newRig starts a gateway that knows the given backends and waits until it is
+// ready.
+func newRig(t *testing.T, backends ...*peer) *rig {
+	t.Helper()
+	r := &rig{registry: newRegistry(t), ended: make(chan error, 1)}
+	c, err := parseConfig([]byte(configText(r.registry.address(), testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.address = l.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	done := make(chan struct{})
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l) }()
+	t.Cleanup(func() { stop(); <-done })
+	if got := r.ready(t); got != http.StatusServiceUnavailable {
+		t.Errorf("ready before the list is had: %d", got)
+	}
+	r.registry.answers <- listing(true, "Ready", backends...)
+	r.until(t, http.StatusOK)
+	return r
+}
+
+func listing(reset bool, lifecycle string, backends ...*peer) Listing {
+	l := Listing{Generation: 1, Reset: reset}
+	for _, b := range backends {
+		l.Instances = append(l.Instances, Instance{ID: b.address(), HostPort: b.address(), Zone: "a", MachineType: "m",
+			Lifecycle: lifecycle, Weight: 1})
+	}
+	return l
+}
+
+func (r *rig) ready(t *testing.T) int {
+	t.Helper()
+	resp, err := http.Get("http://" + r.address + readyPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (r *rig) until(t *testing.T, status int) {
+	t.Helper()
+	for end := time.Now().Add(patience); r.ready(t) != status; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("readiness never became %d", status)
+		}
+	}
+}
+
+func ask(method, class, body string, change ...string) string {
+	headers := map[string]string{idHeader: "9b1f03aa5c7e2d41", classHeader: class, planHeader: "basic",
+		clientHeader: "00000000b4d65521", leftHeader: "15000", termsHeader: "units=2,spread=2,first=1", keyHeader: "k1"}
+	path := "/" + class
+	for i := 0; i < len(change); i += 2 {
+		if change[i] == "path" {
+			path = change[i+1]
+		} else if headers[change[i]] = change[i+1]; change[i+1] == "" {
+			delete(headers, change[i])
+		}
+	}
+	text := method + " " + path + " HTTP/1.1\r\nHost: origin.svc\r\n"
+	for k, v := range headers {
+		text += k + ": " + v + "\r\n"
+	}
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
+
+// client sends one request and returns the channel of its answer.
+func (r *rig) client(t *testing.T, text string) (net.Conn, <-chan *http.Response) {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan *http.Response, 1)
+	go func() {
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			answers <- resp
+		}
+	}()
+	return conn, answers
+}
+
+func serveOne(t *testing.T, backend *peer, body string) {
+	t.Helper()
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func TestServed(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, answers := r.client(t, ask("POST", "booking", "pickup"))
+	serveOne(t, backend, "booked\n")
+	resp := wait(t, answers, "answer")
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != 200 || string(body) != "booked\n" || err != nil || resp.Header.Get("Content-Type") != "text/x" {
+		t.Errorf("%d %q %v %v", resp.StatusCode, body, resp.Header, err)
+	}
+}
+
+// What is not understood is turned down: a default could charge the wrong
+// customer, or repeat what must not run twice.
+func TestMalformed(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newPeer(t))
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no id", ask("GET", "lookup", "", idHeader, ""), 400},
+		{"unknown class", ask("GET", "lookups", ""), 400},
+		{"another path", ask("GET", "lookup", "", "path", "/booking"), 400},
+		{"a path with no first part", ask("GET", "lookup", "", "path", "//lookup"), 400},
+		{"unknown plan", ask("GET", "lookup", "", planHeader, "gold"), 400},
+		{"a short customer", ask("GET", "lookup", "", clientHeader, "b4d65521"), 400},
+		{"a customer too high", ask("GET", "lookup", "", clientHeader, "0000000200000000"), 400},
+		{"no time", ask("GET", "lookup", "", leftHeader, ""), 400},
+		{"no time left", ask("GET", "lookup", "", leftHeader, "0"), 400},
+		{"time without end", ask("GET", "lookup", "", leftHeader, "99999999999999999999"), 400},
+		{"no terms", ask("GET", "lookup", "", termsHeader, ""), 400},
+		{"no number", ask("GET", "lookup", "", termsHeader, "units=NaN,spread=2,first=0"), 400},
+		{"too many units", ask("GET", "lookup", "", termsHeader, "units=5,spread=2,first=0"), 400},
+		{"a set beyond the fleet", ask("GET", "lookup", "", termsHeader, "units=1,spread=3,first=0"), 400},
+		{"a gateway beyond the fleet", ask("GET", "lookup", "", termsHeader, "units=1,spread=2,first=2"), 400},
+		{"no key", ask("POST", "booking", "x", keyHeader, ""), 400},
+		{"the wrong method", ask("POST", "lookup", "x"), 405},
+		{"a keyed GET", ask("GET", "booking", ""), 405},
+		{"a large body", ask("POST", "booking", strings.Repeat("x", mostBody+1)), 413},
+		{"a large body in chunks", ask("POST", "booking", "", "Transfer-Encoding", "chunked") +
+			"10001\r\n" + strings.Repeat("x", mostBody+1) + "\r\n0\r\n\r\n", 413},
+		{"endless headers", ask("GET", "lookup", "", "X", strings.Repeat("x", 4*mostHeader)), 431},
+	} {
+		_, answers := r.client(t, c.text)
+		if resp := wait(t, answers, "answer to "+c.name); resp.StatusCode != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, resp.StatusCode, c.status)
+		}
+	}
+}
+
+// A refusal promises that nothing ran. An unsafe or keyed request that may have
+// run fails instead, and is not sent again by anything below the module either.
+func TestBreakAfterLastByte(t *testing.T) {
+	t.Parallel()
+	for class, status := range map[string]int{"payment": 502, "booking": 200} {
+		backend := newPeer(t)
+		r := newRig(t, backend)
+		_, answers := r.client(t, ask("POST", class, "x"))
+		conn, br := backend.accept(t)
+		readRequest(t, br)
+		conn.Close()
+		if status == 200 {
+			serveOne(t, backend, "ok") // in its group and within its window a keyed request may go out again
+		}
+		if resp := wait(t, answers, "answer"); resp.StatusCode != status {
+			t.Errorf("%s: status %d, want %d", class, resp.StatusCode, status)
+		}
+		if n := len(backend.conns); n > 0 {
+			t.Errorf("%s: %d more connections", class, n)
+		}
+	}
+}
+
+// A backend that says nothing must not hold a request beyond its aim, and its
+// late answer must reach nobody.
+func TestSilence(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, answers := r.client(t, ask("GET", "glance", ""))
+	_, br := backend.accept(t)
+	readRequest(t, br)
+	resp := wait(t, answers, "answer")
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "0.5" {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("the given-up attempt's connection: %v", err)
+	}
+	// The client's connection carries the next request, and that one's answer only.
+	io.WriteString(conn, ask("GET", "lookup", ""))
+	serveOne(t, backend, "second")
+	next, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || next.StatusCode != 200 {
+		t.Fatalf("%v, %v", next, err)
+	}
+	if body, _ := io.ReadAll(next.Body); string(body) != "second" {
+		t.Errorf("body %q", body)
+	}
+}
+
+// Work for a client that has left is wasted: its attempt is called off.
+func TestClientLeaves(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, _ := r.client(t, ask("POST", "booking", "x"))
+	_, br := backend.accept(t)
+	readRequest(t, br)
+	conn.Close()
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("the attempt's connection: %v", err)
+	}
+}
+
+func TestRefusedBackendAndDrain(t *testing.T) {
+	t.Parallel()
+	dead, backend := newPeer(t), newPeer(t)
+	r := newRig(t, dead, backend)
+	dead.listener.Close()
+	for range 4 { // none is lost, whichever is picked first
+		_, answers := r.client(t, ask("POST", "payment", "x"))
+		conn, br := backend.accept(t)
+		readRequest(t, br)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	// The call after the one that told of the drain shows that it was heard.
+	wait(t, r.registry.calls, "first list")
+	wait(t, r.registry.calls, "watch")
+	r.registry.answers <- listing(false, "Terminating", backend)
+	wait(t, r.registry.calls, "next watch")
+	_, answers := r.client(t, ask("GET", "glance", ""))
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || len(backend.conns) != 0 {
+		t.Errorf("status %d, %d connections to the draining backend", resp.StatusCode, len(backend.conns))
+	}
+}
+
+// After SIGTERM nothing that was taken may be lost: what is held is answered,
+// and what still comes is taken for a while.
+func TestStop(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, held := r.client(t, ask("POST", "booking", "held"))
+	conn, br := backend.accept(t)
+	readRequest(t, br)
+	r.stop()
+	r.until(t, http.StatusServiceUnavailable)
+	_, late := r.client(t, ask("POST", "booking", "late"))
+	serveOne(t, backend, "late")
+	if resp := wait(t, late, "answer"); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("a late request: status %d, connection closed %t", resp.StatusCode, resp.Close)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", r.address)
+		if err != nil {
+			break // clients are taken no longer
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("the listener never closed")
+		}
+	}
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if resp := wait(t, held, "answer"); resp.StatusCode != 200 {
+		t.Errorf("the held request: status %d", resp.StatusCode)
+	}
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
