End in time after SIGTERM, and bound writes to clients

Cause, found by reading net/http's Shutdown and by a test that held a connection open with nothing sent on it: such a connection counts as busy for 5 s there, so the end would have come after the longest deadline and with exit code 1 (gateway.go, shutdown). Idle connections were also closed only together with the listener, so that a request crossing the close met no listener. Now idle connections go at once, unused ones with the listener, and the whole stop is bounded by the longest deadline and half a second.

Also: a write time-out towards clients that read nothing, the settings' bound on open requests, and a stuck counter connection is given up after 1 s instead of 2 (its calls are given up after the settings' time-out anyway).

--- /dev/null
+++ b/cmd/elderyard/main_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the command.
+func TestMain(m *testing.M) {
+	if os.Getenv("ELDERYARD_AS_COMMAND") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func command(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "ELDERYARD_AS_COMMAND=1", "EDGE_CONFIG="+path)
+	stderr := &bytes.Buffer{}
+	cmd.Stderr = stderr
+	return cmd, stderr
+}
+
+func TestBadConfiguration(t *testing.T) {
+	cmd, stderr := command(t, `{"settings": {}}`)
+	var exit *exec.ExitError
+	if err := cmd.Run(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Errorf("ended with %v", err)
+	}
+	if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.HasPrefix(text, "elderyard: configuration ") {
+		t.Errorf("said %q", text)
+	}
+}
+
+func TestSigterm(t *testing.T) {
+	asked := make(chan struct{}, 16)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		<-r.Context().Done() // never answers
+	}))
+	defer discovery.Close()
+	cmd, stderr := command(t, `{"name": "n0", "listen": "127.0.0.1:0", "discovery": "`+
+		strings.TrimPrefix(discovery.URL, "http://")+`", "seed": "1", "limits": {"cores": 1, "memory_mb": 64, "sockets": 256},
+		"settings": {"fleetSize": 1, "tickS": 0.002, "allowed": {"connectTimeoutS": 1, "keepaliveS": 15},
+		"classes": [{"name": "c", "objectiveS": 1, "deadlineS": 2}], "packages": [{"name": "p"}]}}`)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	select {
+	case <-asked: // it runs
+	case <-time.After(20 * time.Second):
+		t.Fatal("discovery was not asked")
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v, saying %q", err, stderr)
+	}
+}
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -20,7 +20,7 @@
 	lanes           = 8                // connections to the counter; it holds 32 of a gateway
 	mostCalls       = 512              // calls that wait on one lane
 	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
-	counterStuck    = 2 * time.Second  // an answer so late is given up with its connection
+	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection
 	counterIdleLook = 1 * time.Second  // between looks for idle lanes
 	mostTotal       = 64               // bytes of a total
 	mostKeep        = 60 * time.Second // the counter takes longer ones for this
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,7 @@
 	mostPatience  = time.Hour
 	headerTimeout = 30 * time.Second
 	bodyTimeout   = 5 * time.Second
+	writeTimeout  = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	readyPath     = "/health/ready"
 
@@ -66,18 +69,54 @@
 	loop      *Loop
 	deploy    *wire.Deployment
 	ready     atomic.Bool
-	leaving   atomic.Bool  // connections are closed after their answer
-	conns     atomic.Int64 // open
-	mostConns int64        // above it, connections are closed after their answer
+	leaving   atomic.Bool // connections are closed after their answer
+	mostConns int         // above it, connections are closed after their answer
+
+	mu    sync.Mutex
+	conns int                   // open
+	fresh map[net.Conn]struct{} // of these, those on which nothing has come yet
+}
+
+// server serves clients whose requests are held for the given time at most.
+func (f *frontend) server(longest time.Duration) *http.Server {
+	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: bodyTimeout + longest + writeTimeout, ConnState: f.connState}
+	s.RegisterOnShutdown(f.closeFresh)
+	return s
+}
+
+func (f *frontend) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.fresh, c)
+	switch s {
+	case http.StateNew:
+		f.conns++
+		f.fresh[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		f.conns--
+	}
+}
+
+// closeFresh closes the connections that no request has come on. The server
+// counts them as busy for seconds, and would hold up the gateway's end for them.
+func (f *frontend) closeFresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.fresh {
+		c.Close()
+	}
 }
 
-func (f *frontend) server() *http.Server {
-	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout}
+// crowded tells whether clients should make do with fewer connections.
+func (f *frontend) crowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns > f.mostConns
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() || f.conns.Load() > f.mostConns {
+	if f.leaving.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{deploy: &c.Deployment, mostConns: int64(softShare * float64(clients))}
+	front := &frontend{deploy: &c.Deployment, fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
 	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
 
 	inner, stop := context.WithCancel(context.Background())
@@ -66,16 +66,8 @@
 	})
 	defer known.Stop()
 
-	server := front.server()
+	server := front.server(longest(c))
 	limited := netutil.LimitListener(listener, clients)
-	server.ConnState = func(_ net.Conn, s http.ConnState) {
-		switch s {
-		case http.StateNew:
-			front.conns.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			front.conns.Add(-1)
-		}
-	}
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- server.Serve(limited) })
 	select {
@@ -87,14 +79,14 @@
 }
 
 // shutdown takes what still comes for a while, answers what is held, and ends.
+// Danger: a request may cross the closing of its idle connection; its client
+// then sends it again on a new one. So idle connections go at once, while new
+// ones are still taken, and the listener goes later.
 func shutdown(c *Config, front *frontend, server *http.Server) error {
 	front.leaving.Store(true)
+	server.SetKeepAlivesEnabled(false)
 	time.Sleep(stayFor)
-	longest := 0.0
-	for _, class := range c.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), seconds(longest+c.AnswerSlack)+stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-stayFor)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		server.Close()
@@ -103,4 +95,13 @@
 	return nil
 }
 
+// longest is how long a request may be held.
+func longest(c *Config) time.Duration {
+	most := 0.0
+	for _, class := range c.Classes {
+		most = max(most, class.Deadline)
+	}
+	return seconds(most + c.AnswerSlack)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -275,7 +275,18 @@
 	_, held := r.client(t, ask("POST", "booking", "held"))
 	conn, br := backend.accept(t)
 	readRequest(t, br)
+	unused, err := net.Dial("tcp", r.address) // must not hold up the end
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	idle, first := r.client(t, ask("GET", "lookup", "", idHeader, ""))
+	wait(t, first, "answer") // leaves an idle connection behind
+	idle.SetReadDeadline(time.Now().Add(patience))
 	r.stop()
+	if _, err := io.ReadAll(idle); err != nil {
+		t.Errorf("the idle connection after the stop: %v", err)
+	}
 	r.until(t, http.StatusServiceUnavailable)
 	_, late := r.client(t, ask("POST", "booking", "late"))
 	serveOne(t, backend, "late")
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -134,6 +134,10 @@
 
 // arrive gives a request an id of its own and hands it to the module.
 func (l *Loop) arrive(x *exchange) {
+	if l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
+		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
+		return
+	}
 	for taken := true; taken; _, taken = l.live[l.nextID] {
 		l.nextID++
 	}
