--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -90,8 +90,10 @@
 		case <-timer.C:
 		}
 		now := l.clock.now()
-		for len(l.timers) > 0 && l.timers[0].at <= now {
-			l.due(heap.Pop(&l.timers).(timerEntry))
+		for len(l.timers) > 0 && (l.timers[0].at <= now || l.void(l.timers[0])) {
+			if t := heap.Pop(&l.timers).(timerEntry); !l.void(t) {
+				l.due(t)
+			}
 		}
 		if len(l.timers) > 0 {
 			timer.Reset(time.Until(l.clock.at(l.timers[0].at)))
@@ -139,7 +141,7 @@
 		return
 	}
 	for taken := true; taken; _, taken = l.live[l.nextID] {
-		l.nextID++
+		l.nextID = max(l.nextID+1, 1) // 0 stands for no request
 	}
 	x.ask.ID, x.open = l.nextID, true
 	l.live[x.ask.ID] = x
@@ -197,7 +199,7 @@
 		case rules.Fail:
 			l.answer(a.Request, answer{status: http.StatusBadGateway})
 		case rules.SetTimer:
-			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token})
+			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
 			l.count(a)
 		case rules.Log:
@@ -302,18 +304,28 @@
 	l.handle(rules.CounterReply{Name: k.name, Outcome: o, Total: total, Took: l.clock.now() - k.sent})
 }
 
+// void tells whether nobody waits for a timer any more. Such timers are most of
+// all, and the process is not woken for them.
+func (l *Loop) void(t timerEntry) bool {
+	switch {
+	case t.attempt != nil:
+		return t.attempt.ended
+	case t.call != nil:
+		return t.call.ended
+	case t.request != 0:
+		return l.live[t.request] == nil
+	}
+	return false
+}
+
 func (l *Loop) due(t timerEntry) {
 	switch {
 	case t.attempt != nil:
-		if !t.attempt.ended {
-			t.attempt.callOff()
-			l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
-		}
+		t.attempt.callOff()
+		l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
 	case t.call != nil:
-		if !t.call.ended {
-			t.call.givenUp.Store(true)
-			l.endCall(t.call, rules.TimedOut, 0)
-		}
+		t.call.givenUp.Store(true)
+		l.endCall(t.call, rules.TimedOut, 0)
 	default:
 		l.handle(rules.Timer{Token: t.token})
 	}
@@ -323,6 +335,7 @@
 type timerEntry struct {
 	at      float64
 	token   uint64
+	request rules.RequestID // 0: the timer belongs to none
 	attempt *attempt
 	call    *call
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -138,8 +138,6 @@
 	}
 	g.jobs[r.ID] = j
 	g.arrived[j.level]++
-	g.timer(j.giveUp-g.now, timerEnd, 0, r.ID)
-	g.timer(j.giveUp-g.now-g.latency, timerStart, 0, r.ID)
 	who := g.customerOf(r)
 	j.customer = who
 	if j.giveUp < g.now+g.latency/2 {
@@ -152,6 +150,13 @@
 	}
 	who.waiting = slices.Insert(who.waiting, at, j)
 	g.admit(who)
+	if j.done {
+		return // most refusals come at once, and timers for them would be as many as requests
+	}
+	g.timer(j.giveUp-g.now, timerEnd, 0, r.ID)
+	if len(j.attempts) == 0 {
+		g.timer(j.giveUp-g.now-g.latency, timerStart, 0, r.ID)
+	}
 }
 
 // elapsed is the time that the client has surely spent on earlier tries. Most tries of a class and plan are
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -794,3 +794,38 @@
 	}
 	return log
 }
+
+// Refusals at once are most answers under a burst; a timer for each would wake a gateway twice a request.
+func TestRefusalAtOnceSetsNoTimers(t *testing.T) {
+	d := start(t, testSettings(), some(4)...)
+	id := d.ask(0, 0, 1)
+	if timers := find[SetTimer](d.last); len(timers) == 0 || timers[0].Request != id {
+		t.Fatalf("timers of a request that was let in: %v", timers)
+	}
+	d.nextID++
+	out := d.handle(Request{ID: d.nextID, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now})
+	one[Refuse](t, out)
+	if timers := find[SetTimer](out); len(timers) > 0 {
+		t.Errorf("timers of a refused request: %v", timers)
+	}
+}
+
+// A real gateway comes to a request some time after it was sent: what it waited by then is gone from its aim,
+// and must not be taken for another patience of its client.
+func TestAimCountsFromSending(t *testing.T) {
+	set := testSettings()
+	set.Plans[0].Rate = 0
+	d := start(t, set, some(4)...)
+	for i, lag := range []float64{0, 0.007, 0.1, 0.02} {
+		d.now += 1
+		d.nextID++
+		sent := d.now - lag
+		out := d.handle(Request{ID: d.nextID, Customer: 1, Units: 1, Gateways: 2, Sent: sent, Deadline: sent + 1.5})
+		if s := one[Send](t, out); math.Abs(s.Timeout-(0.8-lag)) > 1e-6 {
+			t.Errorf("request %d: time-out %g, want %g", i, s.Timeout, 0.8-lag)
+		}
+		for _, s := range find[Send](out) {
+			d.handle(AttemptEnd{Request: d.nextID, Backend: s.Backend, Outcome: Served, Done: true})
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -97,7 +97,7 @@
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
 
 func (g *Gateway) timer(in float64, kind uint64, attempt int, id RequestID) {
-	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id)})
+	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id), Request: id})
 }
 
 // leave takes an attempt out of the counts of work in flight.
--- a/rules/types.go
+++ b/rules/types.go
@@ -272,10 +272,12 @@
 // Fail is a final answer with no promise about the effect.
 type Fail struct{ Request RequestID }
 
-// SetTimer asks for a Timer event.
+// SetTimer asks for a Timer event. With a Request it may be left out once that
+// request is over and none of its attempts is out.
 type SetTimer struct {
-	In    float64
-	Token uint64
+	In      float64
+	Token   uint64
+	Request RequestID // 0: none
 }
 
 // Count adds to a shared number and asks for its total. A name that is new
