Keep healthy idle connections whose last time-out has passed

At fault: alive (backend.go) reads the socket under the read deadline of the last attempt; once that had passed the look failed and a healthy connection was closed. The same held for the counter's connections after 1 s. The deadline is now cleared first; both tests fail without that.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -108,6 +108,9 @@
 	if err != nil {
 		return false
 	}
+	// Danger: the time-out of the last use may have passed since, and the look
+	// would fail for it at a connection in good health.
+	conn.SetReadDeadline(time.Time{})
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -290,6 +290,29 @@
 	}
 }
 
+// An idle connection outlives the time-outs of the attempts it carried: a new one
+// costs its backend work.
+func TestReuseAfterOldDeadline(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	for i := range 2 {
+		readRequest(t, r)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if got := wait(t, done, "result"); got.outcome != rules.Served {
+			t.Errorf("attempt %d: outcome %d", i, got.outcome)
+		}
+		p.targets[1].idle[0].SetDeadline(time.Now().Add(-time.Second)) // as if the first had been long ago
+		if i == 0 {
+			done = start(p, newAttempt(patience))
+		}
+	}
+	if len(backend.conns) != 0 || p.open != 1 {
+		t.Errorf("%d more connections, %d open", len(backend.conns), p.open)
+	}
+}
+
 func TestIdleLimitAndMostOpen(t *testing.T) {
 	backend := newPeer(t)
 	p := poolFor(t, backend.address())
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -126,8 +126,9 @@
 	}
 	defer conn.Close()
 	other, _ := far.accept(t)
+	conn.SetDeadline(time.Now().Add(-time.Second)) // of an earlier call
 	if !conn.usable(time.Now()) {
-		t.Error("a fresh connection is not usable")
+		t.Error("a connection in good health is not usable")
 	}
 	if conn.usable(time.Now().Add(-counterIdle - time.Second)) {
 		t.Error("usable after the idle limit")
