--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -26,6 +26,7 @@
 	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
 	notRunHeader = "X-Unprocessed"
 	leftHeader   = "X-Time-Left-Ms"
+	loadHeader   = "X-Backend-Load"
 )
 
 // result is what became of an attempt.
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -47,6 +47,7 @@
 	address string
 	timeout time.Duration
 	lanes   [lanes]chan *call
+	readers sync.WaitGroup // one for each connection
 }
 
 func newCounter(address string, timeout time.Duration) *counter {
@@ -74,6 +75,7 @@
 		wg.Go(func() { c.lane(ctx, calls) })
 	}
 	wg.Wait()
+	c.readers.Wait()
 }
 
 // lane writes the calls of one channel.
@@ -138,7 +140,7 @@
 		return nil, err
 	}
 	conn := &counterConn{Conn: nc, host: c.address, waiting: make(chan *call, mostCalls)}
-	go conn.read()
+	c.readers.Go(conn.read)
 	return conn, nil
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -196,13 +197,13 @@
 		return q, errors.New(idHeader + " is missing or too long")
 	}
 	class := h.Get(classHeader)
-	if q.Class = index(f.deploy.ClassNames, class); q.Class < 0 {
+	if q.Class = slices.Index(f.deploy.ClassNames, class); q.Class < 0 {
 		return q, errors.New(classHeader + " names no class")
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(r.RequestURI, "//") {
 		return q, errors.New("the path is not one of the class")
 	}
-	if q.Plan = index(f.deploy.PlanNames, h.Get(planHeader)); q.Plan < 0 {
+	if q.Plan = slices.Index(f.deploy.PlanNames, h.Get(planHeader)); q.Plan < 0 {
 		return q, errors.New(planHeader + " names no plan")
 	}
 	customer := h.Get(clientHeader)
@@ -248,15 +249,6 @@
 	return nil
 }
 
-func index(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
-
 // hopByHop are the headers that end at this gateway.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
 	front.loop.list(c.Known, rules.CachedList)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -121,7 +121,7 @@
 	t.Helper()
 	conn, r := backend.accept(t)
 	readRequest(t, r)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nX-Backend-Load: {}\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
 func TestServed(t *testing.T) {
@@ -132,7 +132,7 @@
 	serveOne(t, backend, "booked\n")
 	resp := wait(t, answers, "answer")
 	body, err := io.ReadAll(resp.Body)
-	if resp.StatusCode != 200 || string(body) != "booked\n" || err != nil || resp.Header.Get("Content-Type") != "text/x" {
+	if resp.StatusCode != 200 || string(body) != "booked\n" || err != nil || resp.Header.Get("Content-Type") != "text/x" || resp.Header.Get(loadHeader) != "" {
 		t.Errorf("%d %q %v %v", resp.StatusCode, body, resp.Header, err)
 	}
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"log"
 	"net/http"
+	"sync"
 	"time"
 
 	"linnetbend/internal/wire"
@@ -46,8 +47,9 @@
 	counter  *counter
 	onListed func()
 
-	inbox   chan any
-	stopped chan struct{} // closed when run ends
+	inbox    chan any
+	stopped  chan struct{}  // closed when run ends
+	attempts sync.WaitGroup // those that use sockets
 
 	live    map[rules.RequestID]*exchange // until the last attempt has ended
 	nextID  rules.RequestID
@@ -230,11 +232,11 @@
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	l.timers.add(timerEntry{at: a.deadline, attempt: a})
-	go func() { // ends by a.until, or when the attempt is called off
+	l.attempts.Go(func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
 		a.cancel()
 		l.post(attemptDone{a, res})
-	}()
+	})
 }
 
 // endAttempt takes an attempt's one end; what comes after it is dropped.
@@ -246,7 +248,9 @@
 	x := a.x
 	x.out--
 	if res.outcome == rules.Served && x.open {
-		l.answer(x.ask.ID, answer{status: http.StatusOK, header: passedOn(res.header), body: res.body})
+		header := passedOn(res.header)
+		header.Del(loadHeader) // for gateways, not for clients
+		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
 	}
 	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
 		Took: l.clock.now() - a.sent, Done: !x.open})
