Test that a silent counter stops nobody

Checked: a counter that accepts calls and never answers. The call is given up after the settings' time-out and the gateway's own share pays; no change to the gateway was needed.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,9 +23,15 @@
 // newRig starts a gateway that knows the given backends and waits until it is
 // ready.
 func newRig(t *testing.T, backends ...*peer) *rig {
+	t.Helper()
+	return newRigWith(t, func(text string) string { return text }, backends...)
+}
+
+// newRigWith does so with another configuration.
+func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
 	r := &rig{registry: newRegistry(t), ended: make(chan error, 1)}
-	c, err := parseConfig([]byte(configText(r.registry.address(), testSettings)))
+	c, err := parseConfig([]byte(change(configText(r.registry.address(), testSettings))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -227,6 +233,23 @@
 	}
 }
 
+// A counter that says nothing must not stop customers inside their quotas: the
+// call is given up and the gateway's own share pays.
+func TestSilentCounter(t *testing.T) {
+	t.Parallel()
+	backend, counter := newPeer(t), newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"pays": 1}`, `"pays": 1, "unitsPerS": 5, "depth": 20}`,
+		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 1`).Replace, backend)
+	_, answers := r.client(t, ask("GET", "lookup", ""))
+	_, calls := counter.accept(t)
+	readRequest(t, calls)
+	serveOne(t, backend, "ok")
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // Work for a client that has left is wasted: its attempt is called off.
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
