Reload discovery and counter on SIGHUP

The file is now read whole; a bad one is one line and changes nothing. Discovery is watched anew from its whole list, since a version of one address says nothing at another; the old list stands till then. New counter calls go to the new address while the old connection ends after its last answer.

Moving connections would also have let a later call's reply overtake an earlier one's of the same name, which the module takes in order (rules/state.go, called; a full lane did so before): the loop now hands replies on in the order of calls.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -1,5 +1,6 @@
 // Elderyard is one gateway on real sockets. EDGE_CONFIG names its
-// configuration; SIGTERM makes it answer what it holds and end.
+// configuration; SIGHUP makes it read that again, and SIGTERM answer what it
+// holds and end.
 package main
 
 import (
@@ -24,13 +25,15 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
+	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read whole
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(ctx, hup); err != nil {
 		fmt.Fprintln(os.Stderr, "elderyard:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, hup <-chan os.Signal) error {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
@@ -43,5 +46,6 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
 	log.SetPrefix(c.Name + " ")
-	return gateway.Run(ctx, &c)
+	return gateway.Run(ctx, &c, gateway.Reload{Signal: hup,
+		Read: func() (gateway.Config, error) { return gateway.ReadConfig(path) }})
 }
--- a/cmd/elderyard/main_test.go
+++ b/cmd/elderyard/main_test.go
@@ -46,7 +46,9 @@
 	}
 }
 
-func TestSigterm(t *testing.T) {
+// SIGHUP before the gateway is ready, and beside SIGTERM, must not end it in
+// another way than SIGTERM does.
+func TestSignals(t *testing.T) {
 	asked := make(chan struct{}, 16)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- struct{}{}
@@ -66,8 +68,10 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("discovery was not asked")
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v, saying %q", err, stderr)
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -29,13 +29,17 @@
 	mostCounterHead = 16 << 10 // bytes of an answer with its headers
 )
 
-// call is one addition on the counter. The loop owns ended.
+// call is one addition on the counter.
 type call struct {
 	name   uint64
 	amount float64
 	keep   time.Duration
 	sent   float64
-	ended  bool
+
+	// The loop's own:
+	ended   bool
+	outcome rules.Outcome
+	total   float64
 
 	givenUp atomic.Bool // by the loop: not to be written any more
 	report  func(*call, rules.Outcome, float64)
@@ -44,20 +48,25 @@
 // counter makes calls over a few pipelined connections. The calls for one name
 // keep to one connection, so their answers come in the order of the calls.
 type counter struct {
-	address string
+	address atomic.Pointer[string]
 	timeout time.Duration
 	lanes   [lanes]chan *call
 	readers sync.WaitGroup // one for each connection
 }
 
 func newCounter(address string, timeout time.Duration) *counter {
-	c := &counter{address: address, timeout: timeout}
+	c := &counter{timeout: timeout}
+	c.move(address)
 	for i := range c.lanes {
 		c.lanes[i] = make(chan *call, mostCalls)
 	}
 	return c
 }
 
+// move sends all further calls to another address. What is out on the old one
+// may still be answered there.
+func (c *counter) move(address string) { c.address.Store(&address) }
+
 // add hands a call over without waiting. It returns false where too many wait.
 func (c *counter) add(k *call) bool {
 	select {
@@ -94,8 +103,8 @@
 		case <-ctx.Done():
 			return
 		case <-look.C:
-			if conn != nil && time.Since(used) > counterIdle {
-				conn.Close()
+			if conn != nil && (time.Since(used) > counterIdle || conn.host != *c.address.Load()) {
+				conn.retire()
 				conn = nil
 			}
 		case k := <-calls:
@@ -103,8 +112,8 @@
 				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
 				continue
 			}
-			if conn != nil && !conn.usable(used) {
-				conn.Close()
+			if conn != nil && (conn.host != *c.address.Load() || !conn.usable(used)) {
+				conn.retire()
 				conn = nil
 			}
 			if conn == nil {
@@ -135,19 +144,24 @@
 
 func (c *counter) dial(ctx context.Context) (*counterConn, error) {
 	d := net.Dialer{Timeout: c.timeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", c.address)
+	address := *c.address.Load()
+	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: c.address, waiting: make(chan *call, mostCalls)}
+	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls)}
 	c.readers.Go(conn.read)
 	return conn, nil
 }
 
-// Close ends the connection; its reader reports what is still out and ends too.
-// Only the lane's writer calls it, so nothing joins waiting afterwards.
+// retire takes no more calls; the connection ends with its reader, once what is
+// out has been answered or given up. Only the lane's writer calls it, so nothing
+// joins waiting afterwards.
+func (c *counterConn) retire() { c.once.Do(func() { close(c.waiting) }) }
+
+// Close ends the connection at once; its reader reports what is still out.
 func (c *counterConn) Close() error {
-	c.once.Do(func() { close(c.waiting) })
+	c.retire()
 	return c.Conn.Close()
 }
 
@@ -180,6 +194,7 @@
 // read takes the answers in. What is out when the connection ends may have been
 // added.
 func (c *counterConn) read() {
+	defer c.Conn.Close()
 	left := &io.LimitedReader{R: c.Conn}
 	r := bufio.NewReader(left)
 	asked := &http.Request{Method: http.MethodPost}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"os"
+	"reflect"
 	"sync"
 	"time"
 
@@ -22,16 +25,22 @@
 	stopMargin  = 500 * time.Millisecond // for the last answers after the longest deadline
 )
 
+// Reload tells a running gateway that its configuration has been replaced.
+type Reload struct {
+	Signal <-chan os.Signal
+	Read   func() (Config, error) // the new configuration
+}
+
 // Run serves clients until ctx ends, then answers what it holds and returns.
-func Run(ctx context.Context, c *Config) error {
+func Run(ctx context.Context, c *Config, reload Reload) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, listener)
+	return serve(ctx, c, listener, reload)
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener) error {
+func serve(ctx context.Context, c *Config, listener net.Listener, reload Reload) error {
 	clients := int(float64(c.Sockets-reserved) * clientShare)
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients)
 	var calls *counter
@@ -52,14 +61,16 @@
 	if calls != nil {
 		wg.Go(func() { calls.run(inner) })
 	}
-	watch := newWatcher(c.Discovery, func(l Listing) {
-		kind := rules.Delta
-		if l.Reset {
-			kind = rules.FullList
-		}
-		front.loop.post(news{l, kind})
-	})
-	wg.Go(func() { watch.run(inner) })
+	watch := func(address string) (end func()) {
+		ctx, cancel := context.WithCancel(inner)
+		ended := make(chan struct{})
+		wg.Go(func() {
+			defer close(ended)
+			newWatcher(address, front.loop.hear).run(ctx)
+		})
+		return func() { cancel(); <-ended }
+	}
+	unwatch := watch(c.Discovery)
 	known := time.AfterFunc(knownAfter, func() {
 		if len(c.Known.Instances) > 0 {
 			front.ready.Store(true)
@@ -71,12 +82,33 @@
 	limited := netutil.LimitListener(listener, clients)
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- server.Serve(limited) })
-	select {
-	case err := <-failed:
-		return fmt.Errorf("clients: %w", err)
-	case <-ctx.Done():
+	for discovery := c.Discovery; ; {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("clients: %w", err)
+		case <-ctx.Done():
+			return shutdown(c, front, server)
+		case <-reload.Signal:
+			next, err := reload.Read()
+			if err != nil {
+				log.Printf("the old configuration stays: %v", err)
+				continue
+			}
+			if calls != nil && next.Settings.Counter {
+				calls.move(next.Counter)
+			}
+			if next.Discovery != discovery {
+				// Danger: a version of the old address may mean nothing to the new one. The new
+				// watch starts from the whole list; until that comes, the old list stands.
+				unwatch()
+				discovery, unwatch = next.Discovery, watch(next.Discovery)
+			}
+			if next.Listen != c.Listen || next.Sockets != c.Sockets || next.MemoryMB != c.MemoryMB ||
+				next.Cores != c.Cores || !reflect.DeepEqual(next.Deployment, c.Deployment) {
+				log.Print("discovery and counter are as the new configuration says; the rest of it needs a restart")
+			}
+		}
 	}
-	return shutdown(c, front, server)
 }
 
 // shutdown takes what still comes for a while, answers what is held, and ends.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -18,6 +21,8 @@
 	registry *registry
 	stop     context.CancelFunc
 	ended    chan error
+	hup      chan os.Signal
+	config   atomic.Pointer[string] // what a reload reads
 }
 
 // newRig starts a gateway that knows the given backends and waits until it is
@@ -30,8 +35,9 @@
 // newRigWith does so with another configuration.
 func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
-	r := &rig{registry: newRegistry(t), ended: make(chan error, 1)}
-	c, err := parseConfig([]byte(change(configText(r.registry.address(), testSettings))))
+	r := &rig{registry: newRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
+	config := change(configText(r.registry.address(), testSettings))
+	c, err := parseConfig([]byte(config))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,8 +48,10 @@
 	r.address = l.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
+	r.config.Store(&config)
+	reload := Reload{r.hup, func() (Config, error) { return parseConfig([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
@@ -250,6 +258,52 @@
 	}
 }
 
+// A reload moves discovery and counter under load and loses nothing: what is
+// held is answered, the new discovery is asked for its whole list, the counter's
+// call that is out is still taken from the old one, and a bad file changes nothing.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	backend, second, counter, moved := newPeer(t), newPeer(t), newPeer(t), newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"pays": 1}`, `"pays": 1, "unitsPerS": 5, "depth": 20}`,
+		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 30`).Replace, backend)
+	_, held := r.client(t, ask("GET", "lookup", ""))
+	calls, cr := counter.accept(t)
+	readRequest(t, cr) // not answered yet
+
+	good := *r.config.Load()
+	bad := good[:len(good)/2]
+	r.config.Store(&bad)
+	r.hup <- syscall.SIGHUP
+	other := newRegistry(t)
+	next := strings.NewReplacer(r.registry.address(), other.address(), counter.address(), moved.address()).Replace(good)
+	r.config.Store(&next)
+	r.hup <- syscall.SIGHUP
+	if query := wait(t, other.calls, "call of the new discovery"); query != "" {
+		t.Errorf("the new discovery was asked for %q, not for the whole list", query)
+	}
+	total(calls, 200, "12")
+	serveOne(t, backend, "held")
+	if resp := wait(t, held, "answer"); resp.StatusCode != 200 {
+		t.Errorf("the request that was held: status %d", resp.StatusCode)
+	}
+	if _, err := cr.ReadByte(); err != io.EOF {
+		t.Errorf("the old counter's connection: %v", err)
+	}
+	other.answers <- listing(true, "Ready", second)
+	if query := wait(t, other.calls, "watch"); query != "since=1&timeout_ms=4000" {
+		t.Errorf("watch %q", query)
+	}
+	_, answers := r.client(t, ask("GET", "lookup", "", clientHeader, "0000000000000001"))
+	calls, cr = moved.accept(t)
+	readRequest(t, cr)
+	total(calls, 200, "12")
+	serveOne(t, second, "ok")
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+		t.Errorf("the next request: status %d", resp.StatusCode)
+	}
+}
+
 // Work for a client that has left is wasted: its attempt is called off.
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -54,6 +54,7 @@
 	live    map[rules.RequestID]*exchange // until the last attempt has ended
 	nextID  rules.RequestID
 	names   map[rules.BackendID]string // whose id it is
+	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
 	timers  timerHeap
 	actions []rules.Action
 	pending []rules.Event // events that actions brought about
@@ -62,7 +63,8 @@
 func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
 	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{}}
+		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{},
+		calls: map[uint64][]*call{}}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -78,6 +80,15 @@
 	}
 }
 
+// hear passes on what discovery told.
+func (l *Loop) hear(told Listing) {
+	kind := rules.Delta
+	if told.Reset {
+		kind = rules.FullList
+	}
+	l.post(news{told, kind})
+}
+
 // run works until ctx ends.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
@@ -293,6 +304,7 @@
 	k := &call{name: c.Name, amount: c.Amount, sent: l.clock.now(),
 		keep: min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)}
 	k.report = func(k *call, o rules.Outcome, total float64) { l.post(callDone{k, o, total}) }
+	l.calls[k.name] = append(l.calls[k.name], k)
 	if l.counter == nil || !l.counter.add(k) {
 		l.endCall(k, rules.Full, 0)
 		return
@@ -300,12 +312,21 @@
 	l.timers.add(timerEntry{at: k.sent + l.deploy.CounterTimeout, call: k})
 }
 
+// endCall takes a call's one end. Danger: the module takes the replies for one
+// name in the order of the calls, but a call that is turned away here, or goes
+// out on a new connection, may end before an earlier one; it waits for that.
 func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
 	if k.ended {
 		return
 	}
-	k.ended = true
-	l.handle(rules.CounterReply{Name: k.name, Outcome: o, Total: total, Took: l.clock.now() - k.sent})
+	k.ended, k.outcome, k.total = true, o, total
+	for out := l.calls[k.name]; len(out) > 0 && out[0].ended; out = l.calls[k.name] {
+		k := out[0]
+		if l.calls[k.name] = out[1:]; len(out) == 1 {
+			delete(l.calls, k.name)
+		}
+		l.handle(rules.CounterReply{Name: k.name, Outcome: k.outcome, Total: k.total, Took: l.clock.now() - k.sent})
+	}
 }
 
 // void tells whether nobody waits for a timer any more. Such timers are most of
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -1,11 +1,32 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 
 	"linnetbend/rules"
 )
 
+// The module takes replies for one name in the order of the calls, so a later
+// call that ends first waits for the earlier.
+func TestRepliesInOrder(t *testing.T) {
+	l := &Loop{calls: map[uint64][]*call{}, gateway: &rules.Gateway{}}
+	l.pending = []rules.Event{nil} // an outer call is at it: replies are queued
+	first, second, other := &call{name: 1, amount: 1}, &call{name: 1, amount: 2}, &call{name: 2}
+	l.calls[1], l.calls[2] = []*call{first, second}, []*call{other}
+	l.endCall(second, rules.Full, 0)
+	l.endCall(other, rules.Served, 3)
+	l.endCall(first, rules.Served, 5)
+	l.endCall(first, rules.TimedOut, 0) // it has ended
+	var got []rules.Outcome
+	for _, ev := range l.pending[1:] {
+		got = append(got, ev.(rules.CounterReply).Outcome)
+	}
+	if want := []rules.Outcome{rules.Served, rules.Served, rules.Full}; !slices.Equal(got, want) || len(l.calls) > 0 {
+		t.Errorf("replies %v, want %v; %d names left", got, want, len(l.calls))
+	}
+}
+
 // Timers of what is over wake nobody, but none that is waited for may be lost.
 func TestVoidTimers(t *testing.T) {
 	l := &Loop{live: map[rules.RequestID]*exchange{7: {}}}
