Make room for clients at the bound of connections, and end half requests in time

A newcomer now takes the place of the connection that has been quiet for the longest: 2 s after its last request, or 0.1 s after connecting with nothing to read; a look at the socket keeps a request that has just arrived. A request must be whole 2.5 s after its connection. The look (alive) uses RawConn.Control: Read would wait for the server's own reader and heed its time-out.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -109,15 +109,13 @@
 	if err != nil {
 		return false
 	}
-	// Danger: the time-out of the last use may have passed since, and the look
-	// would fail for it at a connection in good health.
-	conn.SetReadDeadline(time.Time{})
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read, which would fail for a time-out that passed since the
+	// last use, and would wait for a reader.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- /dev/null
+++ b/internal/gateway/clients.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	softShare  = 0.8                    // of the connections; above it newcomers replace those that stand idle
+	freshGrace = 100 * time.Millisecond // where room is scarce, a new connection has so long to bring a request
+	idleGrace  = 2 * time.Second        // and one that has brought some is left alone so long after the last
+	roomLook   = 10 * time.Millisecond  // between looks for room
+)
+
+// clients keeps the connections of clients within a bound. Danger: a listener
+// that only stops accepting at its bound hands the gateway over to whoever
+// connects and says nothing; usual clients then wait in the backlog behind
+// them. Here a newcomer takes the place of the connection that has been without
+// an open request for the longest.
+type clients struct {
+	net.Listener
+	most  int
+	freed chan struct{} // a connection has ended
+
+	mu    sync.Mutex
+	conns map[net.Conn]*list.Element // its place in quiet; nil while a request is open
+	quiet list.List                  // of quietConn, the longest first
+}
+
+// quietConn is a connection without an open request.
+type quietConn struct {
+	net.Conn
+	since time.Time
+	fresh bool // none has come on it yet
+}
+
+func newClients(l net.Listener, most int) *clients {
+	return &clients{Listener: l, most: most, freed: make(chan struct{}, 1), conns: map[net.Conn]*list.Element{}}
+}
+
+// Accept returns the next connection that there is room for. One for which none
+// could be made soon is closed.
+func (c *clients) Accept() (net.Conn, error) {
+	for {
+		conn, err := c.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		for left := freshGrace; ; left -= roomLook {
+			if c.makeRoom() {
+				return conn, nil
+			}
+			if left <= 0 {
+				break
+			}
+			select {
+			case <-c.freed:
+			case <-time.After(roomLook):
+			}
+		}
+		conn.Close()
+	}
+}
+
+// makeRoom closes connections that have been quiet for long enough, once the
+// soft bound is passed. It tells whether one more fits.
+func (c *clients) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, gone := time.Now(), 0
+	for e := c.quiet.Front(); e != nil && gone < 2 && len(c.conns) > int(softShare*float64(c.most)); {
+		q, next := e.Value.(quietConn), e.Next()
+		age := now.Sub(q.since)
+		if age < freshGrace {
+			break
+		}
+		// Danger: a request may just have arrived that the server has not read.
+		if (q.fresh || age >= idleGrace) && alive(q.Conn) {
+			q.Close()
+			c.forget(q.Conn)
+			gone++
+		}
+		e = next
+	}
+	return len(c.conns) < c.most
+}
+
+// state follows what the server does with a connection.
+func (c *clients) state(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, here := c.conns[conn]
+	if !here && s != http.StateNew {
+		return // it was closed to make room
+	}
+	if e != nil {
+		c.quiet.Remove(e)
+		c.conns[conn] = nil
+	}
+	switch s {
+	case http.StateNew, http.StateIdle:
+		c.conns[conn] = c.quiet.PushBack(quietConn{conn, time.Now(), s == http.StateNew})
+	case http.StateClosed, http.StateHijacked:
+		c.forget(conn)
+	}
+}
+
+// forget takes a connection off the books.
+func (c *clients) forget(conn net.Conn) {
+	if e := c.conns[conn]; e != nil {
+		c.quiet.Remove(e)
+	}
+	delete(c.conns, conn)
+	select {
+	case c.freed <- struct{}{}:
+	default:
+	}
+}
+
+// closeFresh closes the connections that no request has come on. The server
+// counts them as busy for seconds, and would hold up the gateway's end for them.
+func (c *clients) closeFresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.quiet.Front(); e != nil; e = e.Next() {
+		if q := e.Value.(quietConn); q.fresh {
+			q.Close()
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,14 +17,13 @@
 )
 
 const (
-	mostHeader    = 16 << 10 // bytes
-	mostName      = 256      // bytes of an id or a key
-	mostPatience  = time.Hour
-	headerTimeout = 30 * time.Second
-	bodyTimeout   = 5 * time.Second
-	writeTimeout  = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	readyPath     = "/health/ready"
+	mostHeader   = 16 << 10 // bytes
+	mostName     = 256      // bytes of an id or a key
+	mostPatience = time.Hour
+	readTimeout  = 2500 * time.Millisecond // for a whole request; 3 s after connecting a client is owed an error or a close
+	writeTimeout = 10 * time.Second
+	idleTimeout  = 2 * time.Minute
+	readyPath    = "/health/ready"
 
 	idHeader     = "X-Correlation-Id"
 	classHeader  = "X-Service-Class"
@@ -67,57 +64,23 @@
 
 // frontend serves clients.
 type frontend struct {
-	loop      *Loop
-	deploy    *wire.Deployment
-	ready     atomic.Bool
-	leaving   atomic.Bool // connections are closed after their answer
-	mostConns int         // above it, connections are closed after their answer
-
-	mu    sync.Mutex
-	conns int                   // open
-	fresh map[net.Conn]struct{} // of these, those on which nothing has come yet
+	loop    *Loop
+	deploy  *wire.Deployment
+	ready   atomic.Bool
+	leaving atomic.Bool // connections are closed after their answer
 }
 
-// server serves clients whose requests are held for the given time at most.
-func (f *frontend) server(longest time.Duration) *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: bodyTimeout + longest + writeTimeout, ConnState: f.connState}
-	s.RegisterOnShutdown(f.closeFresh)
+// server serves the clients of c, whose requests are held for the given time at
+// most.
+func (f *frontend) server(c *clients, longest time.Duration) *http.Server {
+	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state}
+	s.RegisterOnShutdown(c.closeFresh)
 	return s
 }
 
-func (f *frontend) connState(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.fresh, c)
-	switch s {
-	case http.StateNew:
-		f.conns++
-		f.fresh[c] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		f.conns--
-	}
-}
-
-// closeFresh closes the connections that no request has come on. The server
-// counts them as busy for seconds, and would hold up the gateway's end for them.
-func (f *frontend) closeFresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.fresh {
-		c.Close()
-	}
-}
-
-// crowded tells whether clients should make do with fewer connections.
-func (f *frontend) crowded() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.conns > f.mostConns
-}
-
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() || f.crowded() {
+	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath {
@@ -169,8 +132,6 @@
 		return nil, http.StatusRequestEntityTooLarge, errTooLong
 	}
 	if r.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		x.body, err = readBody(http.MaxBytesReader(w, r.Body, mostBody), r.ContentLength)
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			return nil, http.StatusRequestEntityTooLarge, errTooLong
@@ -178,9 +139,10 @@
 			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 		}
 		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
-		control.SetReadDeadline(time.Time{})
-		now = f.loop.clock.now() // a request's time counts from its last byte
+		now = f.loop.clock.now()    // a request's time counts from its last byte
 	}
+	// Danger: the time-out for reading the request would end the watch.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	x.ask.Sent = now
 	x.ask.Deadline += now - answerMargin
 	x.header = passedOn(r.Header)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,15 +11,12 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"linnetbend/rules"
 )
 
 const (
 	reserved    = 64                     // descriptors for the counter, discovery and the runtime
 	clientShare = 0.55                   // of the other descriptors, for clients; backends get the rest
-	softShare   = 0.8                    // of the clients' part; above it connections close after an answer
 	knownAfter  = 3 * time.Second        // without discovery, the list known from before has to do
 	stayFor     = 600 * time.Millisecond // new connections still come so long after a stop was asked for
 	stopMargin  = 500 * time.Millisecond // for the last answers after the longest deadline
@@ -41,13 +38,13 @@
 }
 
 func serve(ctx context.Context, c *Config, listener net.Listener, reload Reload) error {
-	clients := int(float64(c.Sockets-reserved) * clientShare)
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-clients)
+	most := int(float64(c.Sockets-reserved) * clientShare)
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
 	var calls *counter
 	if c.Settings.Counter {
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{deploy: &c.Deployment, fresh: map[net.Conn]struct{}{}, mostConns: int(softShare * float64(clients))}
+	front := &frontend{deploy: &c.Deployment}
 	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
 
 	inner, stop := context.WithCancel(context.Background())
@@ -78,10 +75,10 @@
 	})
 	defer known.Stop()
 
-	server := front.server(longest(c))
-	limited := netutil.LimitListener(listener, clients)
+	callers := newClients(listener, most)
+	server := front.server(callers, longest(c))
 	failed := make(chan error, 1)
-	wg.Go(func() { failed <- server.Serve(limited) })
+	wg.Go(func() { failed <- server.Serve(callers) })
 	for discovery := c.Discovery; ; {
 		select {
 		case err := <-failed:
