Give clients more of the descriptors, and at the bound spare no idle connection

Cause: the probe (clients.go makeRoom, gateway.go clientShare): connections that asked once filled the bound faster than they could be closed after 2 s, while backends used a tenth of their part. A client whose idle connection goes is out one connect; one that is not taken is out its request.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -10,16 +10,16 @@
 
 const (
 	softShare  = 0.8                    // of the connections; above it newcomers replace those that stand idle
-	freshGrace = 100 * time.Millisecond // where room is scarce, a new connection has so long to bring a request
-	idleGrace  = 2 * time.Second        // and one that has brought some is left alone so long after the last
+	quietGrace = 2 * time.Second        // a connection is left alone so long after connecting or its last request
+	leastGrace = 100 * time.Millisecond // and so long where there is no room at all
 	roomLook   = 10 * time.Millisecond  // between looks for room
 )
 
 // clients keeps the connections of clients within a bound. Danger: a listener
 // that only stops accepting at its bound hands the gateway over to whoever
 // connects and says nothing; usual clients then wait in the backlog behind
-// them. Here a newcomer takes the place of the connection that has been without
-// an open request for the longest.
+// them. Here a newcomer takes the place of the connection that has been without an
+// open request for the longest.
 type clients struct {
 	net.Listener
 	most  int
@@ -49,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		for left := freshGrace; ; left -= roomLook {
+		for left := leastGrace; ; left -= roomLook {
 			if c.makeRoom() {
 				return conn, nil
 			}
@@ -74,11 +74,11 @@
 	for e := c.quiet.Front(); e != nil && gone < 2 && len(c.conns) > int(softShare*float64(c.most)); {
 		q, next := e.Value.(quietConn), e.Next()
 		age := now.Sub(q.since)
-		if age < freshGrace {
-			break
+		if age < leastGrace || age < quietGrace && len(c.conns) < c.most {
+			break // all others have been quiet for less
 		}
 		// Danger: a request may just have arrived that the server has not read.
-		if (q.fresh || age >= idleGrace) && alive(q.Conn) {
+		if alive(q.Conn) {
 			q.Close()
 			c.forget(q.Conn)
 			gone++
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -71,7 +71,7 @@
 // an unread request has just arrived on, no open request and no new idle one.
 func TestMakeRoom(t *testing.T) {
 	p := newPeer(t)
-	c := newClients(nil, 1)
+	c := newClients(nil, 0)
 	pair := func(s http.ConnState, age time.Duration) (near, far net.Conn) {
 		far, err := net.Dial("tcp", p.address())
 		if err != nil {
@@ -93,16 +93,29 @@
 		time.Sleep(time.Millisecond) // the byte is on its way through the kernel
 	}
 	idle, _ := pair(http.StateIdle, time.Hour)
-	open, _ := pair(http.StateActive, 0)
-	recent, _ := pair(http.StateIdle, idleGrace/2)
 	silent, _ := pair(http.StateNew, time.Minute)
+	open, _ := pair(http.StateActive, 0)
+	recent, _ := pair(http.StateIdle, quietGrace/2)
 	fresh, _ := pair(http.StateNew, 0)
-	if c.makeRoom() {
-		t.Error("room where there is none")
-	}
-	for conn, want := range map[net.Conn]bool{arrived: true, idle: false, open: true, recent: true, silent: false, fresh: true} {
-		if _, kept := c.conns[conn]; kept != want {
-			t.Errorf("%v: kept %t", conn.RemoteAddr(), kept)
+	for i, step := range []struct {
+		most int
+		room bool
+		kept []net.Conn
+	}{
+		{8, true, []net.Conn{arrived, idle, silent, open, recent, fresh}}, // below the soft bound
+		{6, true, []net.Conn{arrived, open, recent, fresh}},
+		{5, true, []net.Conn{arrived, open, recent, fresh}}, // room enough for what was quiet for less than 2 s
+		{4, true, []net.Conn{arrived, open, fresh}},         // none at all
+		{3, false, []net.Conn{arrived, open, fresh}},
+	} {
+		c.most = step.most
+		if got := c.makeRoom(); got != step.room {
+			t.Errorf("step %d: room %t", i, got)
+		}
+		for _, conn := range step.kept {
+			if _, kept := c.conns[conn]; !kept || len(c.conns) != len(step.kept) {
+				t.Errorf("step %d: %d connections kept, want %d", i, len(c.conns), len(step.kept))
+			}
 		}
 	}
 	c.state(idle, http.StateClosed) // the server says so later; it is off the books already
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,7 @@
 
 const (
 	reserved    = 64                     // descriptors for the counter, discovery and the runtime
-	clientShare = 0.55                   // of the other descriptors, for clients; backends get the rest
+	clientShare = 0.75                   // of the other descriptors, for clients; backends get the rest
 	knownAfter  = 3 * time.Second        // without discovery, the list known from before has to do
 	stayFor     = 600 * time.Millisecond // new connections still come so long after a stop was asked for
 	stopMargin  = 500 * time.Millisecond // for the last answers after the longest deadline
