Ask again soon for a customer whose store looks empty

Cause: rules.go granted held a customer for dry as long as the seen total said, up to the window of 50 s; but a total holds what other gateways wrote off twice until they take it back, or for good where that call was lost. Three units of refill is now the longest; a true shortage is one or two.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,6 +29,7 @@
 	// Leases on the shared counter.
 	exactMost    = 5.0  // gateways that can keep the store of a customer exactly
 	windowLen    = 50.0 // seconds of an exact store's window; names live 60 s at most
+	dryMost      = 3.0  // units of refill after which an empty store is asked for again
 	refundLeast  = 0.25 // of a unit; less is not worth a call
 	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
 	nameKeep     = 60.0 // seconds a name lives: longer than its window
@@ -905,7 +906,10 @@
 	avail := c.terms.allowance - (target - k.floor)
 	grant := max(min(k.units, math.Floor(avail/unit+1e-3)*unit), 0)
 	if grant < k.units {
-		c.dryUntil = g.now + max((2*unit-avail+grant)/max(c.terms.rate, 1e-3), g.set.Tick)
+		// Danger: another gateway may be about to take back what it wrote off twice; until it has, the store
+		// looks emptier than it is.
+		short := min(2*unit-avail+grant, dryMost*unit)
+		c.dryUntil = g.now + max(short/max(c.terms.rate, 1e-3), g.set.Tick)
 		if !c.terms.exact {
 			c.dryUntil = (k.window + 1 - c.phase()) * c.terms.window
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -527,6 +527,38 @@
 	}
 }
 
+// A call that was turned away is lost to nobody: what it told or took back goes out with a later one.
+func TestTurnedAwayCallIsToldLater(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	first := one[Count](t, d.handle(Request{ID: 1, Plan: 1, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2}))
+	// Another gateway has begun the window: what this one wrote off is there twice and is taken back.
+	back := one[Count](t, d.handle(CounterReply{Name: first.Name, Total: 2*first.Amount + 1}))
+	if back.Amount > -1 {
+		t.Fatalf("nothing was taken back: %v", back)
+	}
+	d.handle(CounterReply{Name: back.Name, Outcome: Full})
+	d.now += counterMost
+	again := one[Count](t, d.handle(Timer{Token: timerHouse << 56}))
+	if again.Amount != back.Amount || again.Name != back.Name {
+		t.Errorf("%v was turned away, told later: %v", back, again)
+	}
+	if more := d.handle(CounterReply{Name: again.Name}); len(find[Count](more)) > 0 {
+		t.Errorf("told again: %v", more)
+	}
+}
+
+// A total that is far too high, since another gateway has yet to take something back, must not hold a customer
+// for dry longer than it takes to fill some units.
+func TestDryIsSoonLookedAtAgain(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	first := one[Count](t, d.handle(Request{ID: 1, Plan: 1, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2}))
+	one[Refuse](t, d.handle(CounterReply{Name: first.Name, Total: first.Amount + 1000}))
+	d.now += (dryMost + 0.1) / d.g.set.Plans[1].Rate
+	next := one[Count](t, d.handle(Request{ID: 2, Plan: 1, Customer: 1, Units: 1, Gateways: 2, Deadline: d.now + 2}))
+	full := d.g.roll(d.g.customers[1]) // it has been taken back, and the store is full
+	one[Send](t, d.handle(CounterReply{Name: next.Name, Total: full + next.Amount}))
+}
+
 func TestPlacesWithoutTheCounterSumToTheLimit(t *testing.T) {
 	set := testSettings()
 	set.Counter, set.Fleet = false, 5
