Refuse ambiguous requests, hold an id to one request, trust backends' answers less

Read in the code, each shown by a test that failed before: - net/http drops a Content-Length beside chunks unseen, keeps the connection after a 400 and reads on behind it; a request in the body would have been passed on. Chunks get 411 now, HTTP/1.0 505, repeated headers and terms and a GET with a body 400, and every such answer closes the connection.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -20,9 +21,11 @@
 
 const (
 	mostBody     = 64 << 10               // bytes of a body, either way
+	trustedBody  = 4 << 10                // bytes that a body may claim and get memory for at once
 	mostAnswer   = 128 << 10              // bytes of an answer with its headers and framing
 	mostInterim  = 8                      // 1xx answers before the real one
 	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
+	settleTime   = 10 * time.Millisecond  // after an answer, before the connection is used again
 	sweepGap     = 500 * time.Millisecond // between searches for connections idle too long
 	notRunHeader = "X-Unprocessed"
 	leftHeader   = "X-Time-Left-Ms"
@@ -253,6 +256,24 @@
 	t.idle = append(t.idle[:0], t.idle[n:]...)
 }
 
+// closeSpare closes the connection that has been idle for the longest, to
+// whatever backend, so that those to others don't keep one out.
+func (p *pools) closeSpare() bool {
+	var oldest *backendConn
+	for _, t := range p.targets {
+		if len(t.idle) > 0 && (oldest == nil || t.idle[0].idle.Before(oldest.idle)) {
+			oldest = t.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.home.idle = slices.Delete(oldest.home.idle, 0, 1)
+	oldest.Close()
+	p.forget(oldest)
+	return true
+}
+
 var errNoConn = errors.New("no connection to be had")
 
 // conn returns an idle connection to the backend, or a new one.
@@ -263,10 +284,15 @@
 		p.mu.Unlock()
 		return nil, errNoConn
 	}
-	for n := len(t.idle); n > 0; n = len(t.idle) {
-		c := t.idle[n-1]
-		t.idle = t.idle[:n-1]
-		if time.Since(c.idle) < p.idleLimit && alive(c.Conn) {
+	for n := len(t.idle) - 1; n >= 0; n-- {
+		c := t.idle[n]
+		age := time.Since(c.idle)
+		// Danger: more than belonged to the last answer may be on its way, and would be read as the next.
+		if age < settleTime && p.open < p.mostOpen {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, n, n+1)
+		if age < p.idleLimit && alive(c.Conn) {
 			c.idle = time.Time{}
 			p.mu.Unlock()
 			return c, nil
@@ -274,7 +300,7 @@
 		c.Close()
 		p.forget(c)
 	}
-	if p.open >= p.mostOpen {
+	if p.open >= p.mostOpen && !p.closeSpare() {
 		p.mu.Unlock()
 		return nil, errNoConn
 	}
@@ -366,6 +392,9 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		if !delimited(resp) {
+			return result{outcome: rules.Broken}, false
+		}
 		body, err := readBody(resp.Body, resp.ContentLength)
 		resp.Body.Close()
 		if err != nil {
@@ -394,12 +423,13 @@
 
 var errTooLong = errors.New("the body is too long")
 
-// readBody reads a whole body, of known length or not.
+// readBody reads a whole body, of known length or not. Danger: a length is a
+// claim; memory for a long one is taken only as the bytes come.
 func readBody(r io.Reader, length int64) ([]byte, error) {
 	if length > mostBody {
 		return nil, errTooLong
 	}
-	if length >= 0 {
+	if length >= 0 && length <= trustedBody {
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
 		return body, err
@@ -408,5 +438,8 @@
 	if err == nil && len(body) > mostBody {
 		err = errTooLong
 	}
+	if err == nil && length >= 0 && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
+	}
 	return body, err
 }
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -123,6 +123,12 @@
 		{"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", rules.Broken, "", false},
 		{"body too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + long, rules.Broken, "", false},
 		{"headers without end", "HTTP/1.1 200 OK\r\nX: " + long + long, rules.Broken, "", false},
+		{"an end told by the connection alone", "HTTP/1.1 200 OK\r\n\r\nok", rules.Broken, "", false},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", rules.Broken, "", false},
+		{"a length that is no number", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok", rules.Broken, "", false},
+		{"a bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nok", rules.Broken, "", false},
+		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok", rules.Broken, "", false},
+		{"more than belongs to it", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", rules.Served, "ok", false},
 		{"no HTTP", "SSH-2.0\r\n\r\n", rules.Broken, "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -273,6 +279,29 @@
 	}
 }
 
+// A second copy of an answer may follow the first a little later: no other
+// request may be sent there meanwhile, lest the copy be taken for its answer.
+func TestLateCopy(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+	wait(t, done, "result")
+	p.mu.Lock()
+	p.targets[1].idle[0].idle = time.Now().Add(settleTime) // so that the next surely comes within it
+	p.mu.Unlock()
+	done = start(p, newAttempt(patience))
+	other, r := backend.accept(t)
+	readRequest(t, r)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+	io.WriteString(other, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
+	if got := wait(t, done, "result"); string(got.body) != "second" {
+		t.Errorf("body %q", got.body)
+	}
+}
+
 // A draining backend gets nothing new, but what it has it may finish.
 func TestDrain(t *testing.T) {
 	backend := newPeer(t)
@@ -305,6 +334,7 @@
 		}
 		p.targets[1].idle[0].SetDeadline(time.Now().Add(-time.Second)) // as if the first had been long ago
 		if i == 0 {
+			time.Sleep(2 * settleTime)
 			done = start(p, newAttempt(patience))
 		}
 	}
@@ -325,12 +355,25 @@
 	}
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	wait(t, first, "result")
+	// An idle connection elsewhere gives way to one that is needed.
+	other := newPeer(t)
+	p.update(2, other.address(), 0)
+	a := newAttempt(patience)
+	a.backend = 2
+	first = start(p, a)
+	conn, r = other.accept(t)
+	readRequest(t, r)
+	if len(p.targets[1].idle) != 0 || p.open != 1 {
+		t.Errorf("%d idle, %d open", len(p.targets[1].idle), p.open)
+	}
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	wait(t, first, "result")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closeOldest(p.targets[1], time.Now().Add(-time.Hour)); p.open != 1 {
+	if p.closeOldest(p.targets[2], time.Now().Add(-time.Hour)); p.open != 1 {
 		t.Errorf("a fresh connection was closed")
 	}
-	if p.closeOldest(p.targets[1], time.Now().Add(time.Hour)); p.open != 0 || len(p.targets[1].idle) != 0 {
+	if p.closeOldest(p.targets[2], time.Now().Add(time.Hour)); p.open != 0 || len(p.targets[2].idle) != 0 {
 		t.Errorf("%d open after the idle limit", p.open)
 	}
 }
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -36,8 +36,13 @@
 	customers = 1 << 33 // ids are below it
 )
 
+// once are the headers that may stand but once. Danger: of two, the backend
+// might go by another than the decisions did.
+var once = []string{idHeader, classHeader, planHeader, clientHeader, leftHeader, keyHeader, termsHeader, repeatHeader}
+
 // exchange is one request of a client, from its last byte to its final answer.
 type exchange struct {
+	id     string        // the client's own
 	ask    rules.Request // the loop gives it its id
 	method string
 	uri    string
@@ -93,6 +98,8 @@
 	}
 	x, status, err := f.read(w, r)
 	if err != nil {
+		// Danger: what follows a request that was not understood may be a part of it.
+		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -113,17 +120,29 @@
 // read takes a request in, whole, or says with which status it is turned down.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*exchange, int, error) {
 	now := f.loop.clock.now()
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		// Its framing is that of another time; net/http drops a Transfer-Encoding there unseen.
+		return nil, http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is wanted")
+	case len(r.TransferEncoding) > 0:
+		// Danger: beside it may have stood a Content-Length, which net/http drops unseen, and another
+		// request in the body as counted by that. A length is asked for, as RFC 9110, 15.5.12 allows.
+		return nil, http.StatusLengthRequired, errors.New("a body needs a Content-Length")
+	}
 	x := &exchange{method: r.Method, uri: r.RequestURI, host: r.Host, reply: make(chan answer, 1)}
 	ask, err := f.parse(r)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
 	x.ask = ask
+	x.id = r.Header.Get(idHeader)
 	class := &f.deploy.Classes[ask.Class]
 	switch key := r.Header.Get(keyHeader); {
 	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
 		class.Effect != rules.Repeatable && r.Method != http.MethodPost:
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s does not fit the class", r.Method)
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return nil, http.StatusBadRequest, errors.New("a GET has no body")
 	case class.Effect == rules.ByKey && key == "":
 		return nil, http.StatusBadRequest, errors.New(keyHeader + " is missing")
 	case len(key) > mostName:
@@ -155,6 +174,11 @@
 func (f *frontend) parse(r *http.Request) (rules.Request, error) {
 	var q rules.Request
 	h := r.Header
+	for _, name := range once {
+		if len(h[name]) > 1 {
+			return q, errors.New(name + " stands more than once")
+		}
+	}
 	if id := h.Get(idHeader); id == "" || len(id) > mostName {
 		return q, errors.New(idHeader + " is missing or too long")
 	}
@@ -185,8 +209,13 @@
 
 // terms reads the units of a request and the gateways of its customer.
 func (f *frontend) terms(q *rules.Request, text string) error {
+	seen := ""
 	for part := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if strings.Contains(seen, key+"=") {
+			return fmt.Errorf("%s: %s stands more than once", termsHeader, key)
+		}
+		seen += key + "="
 		var err error
 		switch key {
 		case "units":
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -89,8 +89,10 @@
 	}
 }
 
+var asked atomic.Int64 // requests have ids of their own
+
 func ask(method, class, body string, change ...string) string {
-	headers := map[string]string{idHeader: "9b1f03aa5c7e2d41", classHeader: class, planHeader: "basic",
+	headers := map[string]string{idHeader: fmt.Sprintf("%016x", asked.Add(1)), classHeader: class, planHeader: "basic",
 		clientHeader: "00000000b4d65521", leftHeader: "15000", termsHeader: "units=2,spread=2,first=1", keyHeader: "k1"}
 	path := "/" + class
 	for i := 0; i < len(change); i += 2 {
@@ -180,12 +182,65 @@
 		{"a keyed GET", ask("GET", "booking", ""), 405},
 		{"a large body", ask("POST", "booking", strings.Repeat("x", mostBody+1)), 413},
 		{"a large body in chunks", ask("POST", "booking", "", "Transfer-Encoding", "chunked") +
-			"10001\r\n" + strings.Repeat("x", mostBody+1) + "\r\n0\r\n\r\n", 413},
+			"2\r\nok\r\n0\r\n\r\n", 411},
+		{"a set told twice", ask("GET", "lookup", "", termsHeader, "units=1,spread=2,spread=1,first=0"), 400},
+		{"a header told twice", ask("GET", "lookup", "", planHeader, "basic\r\n"+planHeader+": basic"), 400},
+		{"a GET with a body", ask("GET", "lookup", "x"), 400},
+		{"two lengths", ask("POST", "booking", "ok", "content-length", "3"), 400},
+		{"a negative length", ask("POST", "booking", "", "Content-Length", "-2"), 400},
+		{"HTTP/1.0", strings.Replace(ask("GET", "lookup", ""), "HTTP/1.1", "HTTP/1.0", 1), 505},
 		{"endless headers", ask("GET", "lookup", "", "X", strings.Repeat("x", 4*mostHeader)), 431},
 	} {
 		_, answers := r.client(t, c.text)
-		if resp := wait(t, answers, "answer to "+c.name); resp.StatusCode != c.status {
-			t.Errorf("%s: status %d, want %d", c.name, resp.StatusCode, c.status)
+		if resp := wait(t, answers, "answer to "+c.name); resp.StatusCode != c.status || !resp.Close {
+			t.Errorf("%s: status %d, want %d; closed %t", c.name, resp.StatusCode, c.status, resp.Close)
+		}
+	}
+}
+
+// A length beside chunks may hide a request in the body, or behind it: neither
+// may reach a backend.
+func TestHiddenRequest(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	hidden := ask("POST", "booking", "hidden")
+	conn, answers := r.client(t, ask("POST", "booking", "", "Transfer-Encoding", "chunked",
+		"Content-Length", fmt.Sprint(5+len(hidden)))+"0\r\n\r\n"+hidden)
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 411 || !resp.Close {
+		t.Errorf("status %d, closed %t", resp.StatusCode, resp.Close)
+	}
+	if rest, err := io.ReadAll(conn); isTimeout(err) {
+		t.Errorf("the connection stays: %q", rest)
+	}
+	if n := len(backend.conns); n > 0 {
+		t.Errorf("%d connections to the backend", n)
+	}
+}
+
+// One id is one request: another client's under the same is turned down, also
+// just after the first has been answered, and the first keeps its answer.
+func TestIdTwice(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, first := r.client(t, ask("POST", "booking", "mine", idHeader, "one"))
+	conn, br := backend.accept(t)
+	readRequest(t, br)
+	for range 2 {
+		_, second := r.client(t, ask("GET", "lookup", "", idHeader, "one"))
+		if resp := wait(t, second, "answer to the second"); resp.StatusCode != 409 {
+			t.Errorf("the second: status %d", resp.StatusCode)
+		}
+		if len(backend.conns) > 0 {
+			t.Error("the second went to the backend")
+		}
+		if conn != nil {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine")
+			if resp := wait(t, first, "answer to the first"); resp.StatusCode != 200 {
+				t.Errorf("the first: status %d", resp.StatusCode)
+			}
+			conn = nil
 		}
 	}
 }
@@ -357,7 +412,7 @@
 		t.Fatal(err)
 	}
 	defer unused.Close()
-	idle, first := r.client(t, ask("GET", "lookup", "", idHeader, ""))
+	idle, first := r.client(t, "GET "+readyPath+" HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
 	wait(t, first, "answer") // leaves an idle connection behind
 	idle.SetReadDeadline(time.Now().Add(patience))
 	r.stop()
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -52,6 +52,7 @@
 	attempts sync.WaitGroup // those that use sockets
 
 	live    map[rules.RequestID]*exchange // until the last attempt has ended
+	ids     recent                        // the clients' own, of requests taken lately
 	nextID  rules.RequestID
 	names   map[rules.BackendID]string // whose id it is
 	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
@@ -153,6 +154,12 @@
 		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
 		return
 	}
+	// Danger: an id names one request. A second one under it, from whatever client, could be answered by
+	// what a backend made for the first.
+	if !l.ids.add(x.id, x.ask.Sent) {
+		x.reply <- answer{status: http.StatusConflict}
+		return
+	}
 	for taken := true; taken; _, taken = l.live[l.nextID] {
 		l.nextID = max(l.nextID+1, 1) // 0 stands for no request
 	}
@@ -380,3 +387,29 @@
 	*h = old[:len(old)-1]
 	return t
 }
+
+// recent remembers ids for a while: those of the present span and of the last.
+type recent struct {
+	now, last map[string]struct{}
+	since     float64
+}
+
+const (
+	recentSpan = 4.0     // seconds; longer than a request stays open
+	recentMost = 1 << 13 // ids of a span; then the next begins
+)
+
+// add tells whether an id is new, and remembers it.
+func (r *recent) add(id string, now float64) bool {
+	if r.now == nil || now-r.since > recentSpan || len(r.now) >= recentMost {
+		r.now, r.last, r.since = map[string]struct{}{}, r.now, now
+	}
+	if _, seen := r.now[id]; seen {
+		return false
+	}
+	if _, seen := r.last[id]; seen {
+		return false
+	}
+	r.now[id] = struct{}{}
+	return true
+}
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 
 	"linnetbend/rules"
@@ -27,6 +28,29 @@
 	}
 }
 
+// Ids are remembered for as long as a request may be open, and not for good.
+func TestRecent(t *testing.T) {
+	var r recent
+	for _, c := range []struct {
+		id   string
+		at   float64
+		want bool
+	}{
+		{"a", 0, true}, {"a", 1, false}, {"b", recentSpan + 1, true}, {"a", recentSpan + 2, false},
+		{"b", 2*recentSpan + 2, false}, {"a", 2*recentSpan + 3, true},
+	} {
+		if got := r.add(c.id, c.at); got != c.want {
+			t.Errorf("%s at %v: new %t", c.id, c.at, got)
+		}
+	}
+	for i := range 3 * recentMost {
+		r.add(strconv.Itoa(i), 3*recentSpan)
+	}
+	if n := len(r.now) + len(r.last); n > 2*recentMost {
+		t.Errorf("%d ids are remembered", n)
+	}
+}
+
 // Timers of what is over wake nobody, but none that is waited for may be lost.
 func TestVoidTimers(t *testing.T) {
 	l := &Loop{live: map[rules.RequestID]*exchange{7: {}}}
