Let leases live half of the store's burst

Cause: what a lease holds when it ends is lost to an exact store till its window of 50 s ends (rules.go house, expires).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,7 +33,7 @@
 	refundLeast  = 0.25 // of a unit; less is not worth a call
 	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
 	nameKeep     = 60.0 // seconds a name lives: longer than its window
-	leaseShare   = 0.25 // a lease lives this part of its window
+	leaseShare   = 0.5  // a lease lives this part of its window
 	counterRest  = 0.25 // first pause after a failed call, seconds; doubles
 	counterMost  = 2.0  // longest pause
 	demandSpan   = 2.0  // seconds over which demand is averaged
