--- a/rules/rules.go
+++ b/rules/rules.go
@@ -55,6 +55,7 @@
 	paceMost   = 8.0  // a backend counts as this many times slower at most
 	trialFirst = 0.5  // seconds between trials of an ejected backend; doubles
 	trialMost  = 4.0
+	healthSpan = 5.0 // seconds over which what was learnt of a backend in use fades
 	lateDevs   = 4.0 // an attempt is late this many mean deviations past the mean
 
 	// Further attempts.
@@ -500,6 +501,19 @@
 	s.latency += paceGain * (took - s.latency)
 }
 
+// age lets what was learnt of a backend fade. Danger: one that is passed over for a single failure or a slow
+// answer gets nothing that could put that right, and the others bear its work for good. One that is left out
+// has its trials.
+func (s *server) age(part, usual float64) {
+	if s.ejected() {
+		return
+	}
+	s.fail -= part * s.fail
+	if s.latency > 0 {
+		s.latency += part * (usual - s.latency)
+	}
+}
+
 func (s *server) ejected() bool { return s.fail >= failEject }
 
 // blame counts a failure or a silence, whatever its cause.
@@ -587,8 +601,10 @@
 	g.lastHouse = g.now
 	warm := 0
 	g.forget()
+	aged := 1 - math.Exp(-span/healthSpan)
 	for _, s := range g.list {
 		g.lay(s, 0)
+		s.age(aged, g.latency)
 		if s.State == Ready && g.warmth(s) >= 1 {
 			warm++
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -433,6 +433,22 @@
 	}
 }
 
+// A backend that failed once or was slow once is used again in time, though nothing is sent there that could
+// put it right; one that is left out waits for its trials.
+func TestWhatIsKnownOfABackendFades(t *testing.T) {
+	d := start(t, testSettings(), some(3)...)
+	d.g.latency = 0.1
+	once, slow, out := d.g.servers[1], d.g.servers[2], d.g.servers[3]
+	once.fail, slow.latency, out.fail = failGain, 0.4, 0.9
+	for range int(2 * healthSpan / houseGap) {
+		d.now += houseGap
+		d.handle(Timer{Token: timerHouse << 56})
+	}
+	if once.fail > 0.05 || slow.latency > 0.15 || out.fail != 0.9 {
+		t.Errorf("failures %.2f, latency %.2f, failures of the one left out %.2f", once.fail, slow.latency, out.fail)
+	}
+}
+
 func TestGivenUpAttemptsStayCounted(t *testing.T) {
 	set := testSettings()
 	set.MaxAttempts = 1
