--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -92,7 +92,6 @@
 // backendConn is one connection to a backend, for one request at a time.
 type backendConn struct {
 	net.Conn
-	raw  syscall.RawConn   // for a look at the socket; nil where it has none
 	left *io.LimitedReader // what an answer may still take, headers among it
 	r    *bufio.Reader     // on left
 	w    *bufio.Writer
@@ -330,8 +329,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return newBackendConn(conn, t), nil
+}
+
+func newBackendConn(conn net.Conn, home *target) *backendConn {
 	left := &io.LimitedReader{R: conn}
-	return &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: t}, nil
+	return &backendConn{Conn: conn, left: left, r: bufio.NewReader(left), w: bufio.NewWriter(conn), home: home}
 }
 
 // attempt sends the request and waits for what comes back. An error before the
--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -73,3 +73,15 @@
 		t.Errorf("now is %f, %v ago", at, d)
 	}
 }
+
+// Where memory is short it bounds the clients' connections before descriptors
+// do, but leaves room for the third of these that requests may take.
+func TestMostClients(t *testing.T) {
+	for _, c := range []struct{ memory, sockets, want int }{
+		{192, 1024, 720}, {192, 256, 144}, {32, 256, 144}, {32, 1024, 341},
+	} {
+		if got := (&Config{MemoryMB: c.memory, Sockets: c.sockets}).mostClients(); got != c.want {
+			t.Errorf("%d MB, %d sockets: %d, want %d", c.memory, c.sockets, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"linnetbend/internal/wire"
+	"linnetbend/rules"
+)
+
+// Whatever a counter answers, a total that is told is a number, and only a
+// whole answer tells one.
+func FuzzReadTotal(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nNaN",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n0\r\n\r\n",
+		"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "noise", "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		o, total, err := readTotal(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodPost})
+		if math.IsNaN(total) || math.IsInf(total, 0) || o == rules.Served && err != nil || total != 0 && o != rules.Served {
+			t.Errorf("outcome %d, total %v, %v", o, total, err)
+		}
+	})
+}
+
+// Whatever stands in the terms, what is taken is in range.
+func FuzzTerms(f *testing.F) {
+	for _, seed := range []string{"units=2,spread=2,first=1", "units=NaN,spread=1,first=0", "units=1,units=2,spread=1",
+		"units=-1,spread=-1,first=-1", "units=1e999,spread=9999999999999999999,first=0", ",=,="} {
+		f.Add(seed)
+	}
+	front := &frontend{deploy: &wire.Deployment{Settings: rules.Settings{Fleet: 3, MaxUnits: 4}}}
+	f.Fuzz(func(t *testing.T, text string) {
+		var q rules.Request
+		err := front.terms(&q, text)
+		if err == nil && !(q.Units > 0 && q.Units <= 4 && q.Gateways >= 1 && q.Gateways <= 3 && q.FirstPeer >= 0 && q.FirstPeer < 3) {
+			t.Errorf("%q was taken: %+v", text, q)
+		}
+	})
+}
+
+// readerConn is a connection on which a text comes.
+type readerConn struct {
+	net.Conn
+	r io.Reader
+}
+
+func (c readerConn) Read(b []byte) (int, error) { return c.r.Read(b) }
+
+// Whatever a backend answers, one that is served is whole and in bounds.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nok", "ICY 200 OK\r\n\r\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		c := newBackendConn(readerConn{r: strings.NewReader(text)}, nil)
+		res, reuse := c.answer(http.MethodGet)
+		if res.outcome == rules.Served && len(res.body) > mostBody || res.outcome == rules.Broken && reuse {
+			t.Errorf("outcome %d, %d bytes, used again %t", res.outcome, len(res.body), reuse)
+		}
+	})
+}
