Leave a counter connection that stands still, and tell an answer that has begun as added

Now a lane whose due answer was given up goes on over a new connection, 4 a lane at most (32 in all), and a call whose answer has begun by its time-out ends as Errored (added, total unknown), as the documents say of a spoilt one. Each of the two tests over sockets was seen to fail without its part: no connection came for the next call.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	lanes           = 8                // connections to the counter; it holds 32 of a gateway
+	lanes           = 8                // streams of calls to the counter, each on a connection of its own
+	laneConns       = 4                // connections of a lane at most, those that stand still among them
 	mostCalls       = 512              // calls that wait on one lane
 	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
 	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection
@@ -44,11 +45,13 @@
 	total   float64
 
 	givenUp atomic.Bool // by the loop: not to be written any more
+	begun   atomic.Bool // its answer has begun to come
 	report  func(*call, rules.Outcome, float64)
 }
 
 // counter makes calls over a few pipelined connections. The calls for one name
-// keep to one connection, so their answers come in the order of the calls.
+// keep to one lane, so they go out in order; a lane leaves a connection that
+// stands still for a new one. The counter holds 32 connections of a gateway.
 type counter struct {
 	address atomic.Pointer[string]
 	timeout time.Duration
@@ -92,6 +95,7 @@
 // lane writes the calls of one channel.
 func (c *counter) lane(ctx context.Context, calls <-chan *call) {
 	var conn *counterConn
+	var open atomic.Int64
 	defer func() {
 		if conn != nil {
 			conn.Close()
@@ -114,13 +118,13 @@
 				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
 				continue
 			}
-			if conn != nil && (conn.host != *c.address.Load() || !conn.usable(used)) {
+			if conn != nil && (conn.host != *c.address.Load() || !conn.usable(used) || conn.stands()) {
 				conn.retire()
 				conn = nil
 			}
 			if conn == nil {
 				var err error
-				if conn, err = c.dial(ctx); err != nil {
+				if conn, err = c.dial(ctx, &open); err != nil {
 					conn = nil
 					k.report(k, rules.ConnectFailed, 0)
 					continue
@@ -139,20 +143,27 @@
 	net.Conn
 	host    string
 	dead    atomic.Bool
-	out     atomic.Int64 // calls without an answer
-	waiting chan *call   // written, in order
+	out     atomic.Int64         // calls without an answer
+	head    atomic.Pointer[call] // whose answer comes next
+	waiting chan *call           // written, in order
+	open    *atomic.Int64        // connections of its lane
 	once    sync.Once
 }
 
-func (c *counter) dial(ctx context.Context) (*counterConn, error) {
+// dial opens a connection and counts it in open until it has ended.
+func (c *counter) dial(ctx context.Context, open *atomic.Int64) (*counterConn, error) {
 	d := net.Dialer{Timeout: c.timeout, KeepAlive: -1}
 	address := *c.address.Load()
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls)}
-	c.readers.Go(conn.read)
+	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), open: open}
+	open.Add(1)
+	c.readers.Go(func() {
+		defer open.Add(-1)
+		conn.read()
+	})
 	return conn, nil
 }
 
@@ -173,6 +184,18 @@
 	return !c.dead.Load() && time.Since(used) <= counterIdle && (c.out.Load() > 0 || alive(c.Conn))
 }
 
+// stands tells whether the lane should leave a connection, since the call whose
+// answer is due has been given up and another connection may be had. Danger: an
+// answer that never ends holds up all answers behind it, and so calls that the
+// counter has served would time out, for many customers, as if it were crowded.
+// This covers a lost or silent connection as well. It could hurt with a counter
+// that is slow for all, which gets more connections from it, so these are few;
+// an answer that comes late is still read where it comes.
+func (c *counterConn) stands() bool {
+	k := c.head.Load()
+	return k != nil && k.givenUp.Load() && c.open.Load() < laneConns
+}
+
 // call writes one call. Its answer is read only once it stands in the line;
 // where the line is full the connection is stuck.
 func (c *counterConn) call(k *call) {
@@ -206,12 +229,14 @@
 			k.report(k, rules.Broken, 0)
 			continue
 		}
+		c.head.Store(k)
 		left.N = mostCounterHead
 		c.SetReadDeadline(time.Now().Add(counterStuck))
 		outcome, total, err := rules.Errored, 0.0, error(nil)
 		if _, err = r.Peek(1); err != nil {
 			outcome = broken(err)
 		} else {
+			k.begun.Store(true)
 			outcome, total, err = readTotal(r, asked)
 		}
 		if err != nil {
@@ -219,6 +244,7 @@
 			c.dead.Store(true)
 			c.Conn.Close()
 		}
+		c.head.Store(nil)
 		c.out.Add(-1)
 		k.report(k, outcome, total)
 	}
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,6 +122,60 @@
 	}
 }
 
+// An answer without an end holds up what was called behind it on its connection
+// and no more: the next call gets a connection of its own.
+func TestCounterStandsStill(t *testing.T) {
+	far := newPeer(t)
+	_, add, replies := startCounter(t, far.address())
+	stuck := add(1)
+	conn, r := far.accept(t)
+	readRequest(t, r)
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX: ")
+	for until := time.Now().Add(patience); !stuck.begun.Load() && time.Now().Before(until); {
+		time.Sleep(time.Millisecond) // the answer's beginning is on its way
+	}
+	stuck.givenUp.Store(true)
+	add(2)
+	conn, r = far.accept(t)
+	readRequest(t, r)
+	total(conn, 200, "3")
+	for got := wait(t, replies, "reply"); got != (reply{2, rules.Served, 3}); got = wait(t, replies, "reply") {
+		if got.amount != 1 { // the stuck connection ends some day, and its call with it
+			t.Fatalf("reply on the new connection: %v", got)
+		}
+	}
+}
+
+// A counter that is slow for all must not be given connections without end: at
+// the bound, calls go out on the last one.
+func TestCounterConnectionsBounded(t *testing.T) {
+	far := newPeer(t)
+	c := newCounter(far.address(), patience)
+	var open atomic.Int64
+	open.Store(laneConns - 1) // stand still already
+	conn, err := c.dial(context.Background(), &open)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	overdue := &call{}
+	overdue.givenUp.Store(true)
+	conn.head.Store(overdue)
+	if conn.stands() {
+		t.Error("another connection would be opened past the bound")
+	}
+	open.Add(-1)
+	if !conn.stands() {
+		t.Error("a connection that stands still is kept below the bound")
+	}
+	open.Add(1)
+	conn.Close()
+	c.readers.Wait()
+	if n := open.Load(); n != laneConns-1 {
+		t.Errorf("%d connections count as open after one has ended", n)
+	}
+}
+
 // Nothing was written, so nothing was added: the module may count on it.
 func TestCounterAway(t *testing.T) {
 	far := newPeer(t)
@@ -160,7 +215,8 @@
 func TestCounterClosedIdle(t *testing.T) {
 	far := newPeer(t)
 	c := newCounter(far.address(), patience)
-	conn, err := c.dial(context.Background())
+	var open atomic.Int64
+	conn, err := c.dial(context.Background(), &open)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -313,6 +314,35 @@
 	}
 }
 
+// An answer of the counter that begins and never ends is no silence: the amount
+// was added, so the customer is asked for again at once and it is taken back.
+func TestCounterAnswerWithoutEnd(t *testing.T) {
+	t.Parallel()
+	backend, counter := newPeer(t), newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"pays": 1}`, `"pays": 1, "unitsPerS": 0.001, "depth": 2}`, // the gateway's own share is too small to pay again
+		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 0.5`).Replace, backend)
+	_, answers := r.client(t, ask("GET", "lookup", ""))
+	conn, calls := counter.accept(t)
+	first, _ := readRequest(t, calls)
+	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX: ")
+	conn, calls = counter.accept(t)
+	second, _ := readRequest(t, calls)
+	added := 0.0
+	for _, call := range []*http.Request{first, second} {
+		n, err := strconv.ParseFloat(call.URL.Query().Get("add"), 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		added += n
+	}
+	total(conn, http.StatusOK, strconv.FormatFloat(added, 'f', -1, 64))
+	serveOne(t, backend, "ok")
+	if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // A reload moves discovery and counter under load and loses nothing: what is
 // held is answered, the new discovery is asked for its whole list, the counter's
 // call that is out is still taken from the old one, and a bad file changes nothing.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -336,6 +336,19 @@
 	}
 }
 
+// giveUp ends a call whose time is over. An answer that has begun, and may never
+// end, says as much as one that can't be read: the amount was added. Danger: told
+// as silence, it would pass for a crowd, and what it added would be lost. A refusal
+// cut to pieces on its way passes for added too; what is taken back then is one call's.
+func (l *Loop) giveUp(k *call) {
+	k.givenUp.Store(true)
+	outcome := rules.TimedOut
+	if k.begun.Load() {
+		outcome = rules.Errored
+	}
+	l.endCall(k, outcome, 0)
+}
+
 // void tells whether nobody waits for a timer any more. Such timers are most of
 // all, and the process is not woken for them.
 func (l *Loop) void(t timerEntry) bool {
@@ -356,8 +369,7 @@
 		t.attempt.callOff()
 		l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
 	case t.call != nil:
-		t.call.givenUp.Store(true)
-		l.endCall(t.call, rules.TimedOut, 0)
+		l.giveUp(t.call)
 	default:
 		l.handle(rules.Timer{Token: t.token})
 	}
