Let totals that come late grant

Cause (probe; loop.go endCall dropped them): of 136 calls that timed out most were answered within 30 ms more, with the total. The module is still told TimedOut in time; what comes of the call later follows as CounterLate, by the call's number, and grants, is taken back or told again as it would have been in time. 64 such calls are remembered at most. The test over sockets fails without it: the request is never let in.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -34,6 +34,7 @@
 
 // call is one addition on the counter.
 type call struct {
+	id     uint64 // the module's
 	name   uint64
 	amount float64
 	keep   time.Duration
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -343,6 +343,26 @@
 	}
 }
 
+// An answer that comes after its call was given up says what was added: the
+// request that waits is let in by it.
+func TestLateTotal(t *testing.T) {
+	t.Parallel()
+	const timeout = 200 * time.Millisecond
+	backend, counter := newPeer(t), newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"pays": 1}`, `"pays": 1, "unitsPerS": 0.001, "depth": 2}`, // the gateway's own share is too small to pay
+		`"mostUnits": 4`, fmt.Sprintf(`"mostUnits": 4, "hasCounter": true, "counterTimeoutS": %g`, timeout.Seconds())).Replace, backend)
+	_, answers := r.client(t, ask("GET", "lookup", ""))
+	conn, calls := counter.accept(t)
+	first, _ := readRequest(t, calls)
+	time.Sleep(timeout * 3 / 2) // the answer counts whenever it comes; here most likely late
+	total(conn, http.StatusOK, first.URL.Query().Get("add"))
+	serveOne(t, backend, "ok") // and no other call is answered
+	if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // What a call wrote off and was added, though its answer told no total, must not
 // stay in a store that another gateway has begun: its customer would be missing it
 // till the window ends.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -308,7 +308,7 @@
 }
 
 func (l *Loop) count(c rules.Count) {
-	k := &call{name: c.Name, amount: c.Amount, sent: l.clock.now(),
+	k := &call{id: c.Call, name: c.Name, amount: c.Amount, sent: l.clock.now(),
 		keep: min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)}
 	k.report = func(k *call, o rules.Outcome, total float64) { l.post(callDone{k, o, total}) }
 	l.calls[k.name] = append(l.calls[k.name], k)
@@ -321,9 +321,13 @@
 
 // endCall takes a call's one end. Danger: the module takes the replies for one
 // name in the order of the calls, but a call that is turned away here, or goes
-// out on a new connection, may end before an earlier one; it waits for that.
+// out on a new connection, may end before an earlier one; it waits for that. What
+// becomes of a call that was given up is told all the same.
 func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
 	if k.ended {
+		if k.outcome == rules.TimedOut {
+			l.handle(rules.CounterLate{Call: k.id, Outcome: o, Total: total})
+		}
 		return
 	}
 	k.ended, k.outcome, k.total = true, o, total
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -34,6 +34,7 @@
 	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
 	nameKeep     = 60.0 // seconds a name lives: longer than its window
 	leaseShare   = 0.5  // a lease lives this part of its window
+	lostMost     = 64   // calls with no answer that are remembered, should one come late
 	counterRest  = 0.25 // first pause after a failed call, seconds; doubles
 	counterMost  = 2.0  // longest pause
 	demandSpan   = 2.0  // seconds over which demand is averaged
@@ -119,6 +120,8 @@
 		g.due(e.Token)
 	case CounterReply:
 		g.counted(e)
+	case CounterLate:
+		g.countedLate(e)
 	case Backends:
 		g.backends(e)
 	}
@@ -875,6 +878,9 @@
 	g.crowd -= crowdGain * g.crowd
 	if (e.Outcome == TimedOut || e.Outcome == Broken) && !k.slot && k.window == c.window {
 		c.doubt += k.units + math.Abs(k.fill)
+		if e.Outcome == TimedOut {
+			g.lost = append(g.lost[max(len(g.lost)+1-lostMost, 0):], k)
+		}
 	}
 	switch {
 	case e.Outcome == Errored || e.Outcome == Broken:
@@ -882,10 +888,8 @@
 		// left out that the counter bears, and customers refused inside their quotas.
 		if e.Outcome == Errored && k.slot && k.units > 0 {
 			g.count(call{customer: c, name: k.name, fill: -k.units, slot: true}, nameKeep)
-		} else if e.Outcome == Errored && k.units > 0 && k.window == c.window {
-			if c.owed -= k.units; !c.terms.ceiling {
-				c.owed -= k.fill
-			}
+		} else if e.Outcome == Errored {
+			c.takeBack(k)
 		}
 		c.restTill = g.now + c.rest // the first time none at all
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
@@ -898,10 +902,8 @@
 		case e.Outcome == TimedOut:
 		case k.slot && k.name == c.slotName:
 			c.slots += int(max(-k.fill, 0))
-		case !k.slot && k.window == c.window && k.name == c.name:
-			if c.owed += k.owed; k.units == 0 {
-				c.owed += k.fill
-			}
+		case !k.slot:
+			c.tellLater(k)
 		}
 		g.crowd += crowdGain
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
@@ -913,6 +915,52 @@
 	g.admit(c)
 }
 
+// takeBack has the next call take back what a call added for nothing.
+func (c *customer) takeBack(k call) {
+	if k.units > 0 && k.window == c.window {
+		if c.owed -= k.units; !c.terms.ceiling {
+			c.owed -= k.fill
+		}
+	}
+}
+
+// tellLater has the next call tell what a call that was not added was to tell.
+func (c *customer) tellLater(k call) {
+	if k.window == c.window && k.name == c.name {
+		if c.owed += k.owed; k.units == 0 {
+			c.owed += k.fill
+		}
+	}
+}
+
+// countedLate takes what came of a call after it was given up. Danger: a counter that is slow for a moment
+// adds all the same, and what it added and nobody uses is missing at all gateways. So a late total grants
+// as one in time would, and ends the rest. It stands for a counter slow for all, and where silence was a
+// network's; a total too old for its window is of no use.
+func (g *Gateway) countedLate(e CounterLate) {
+	at := slices.IndexFunc(g.lost, func(k call) bool { return k.id == e.Call })
+	if at < 0 {
+		return
+	}
+	k := g.lost[at]
+	c := k.customer
+	g.lost = slices.Delete(g.lost, at, at+1)
+	if k.window != c.window || e.Outcome == TimedOut || e.Outcome == Broken {
+		return
+	}
+	c.doubt = max(c.doubt-k.units-math.Abs(k.fill), 0)
+	switch {
+	case e.Outcome == Errored:
+		c.takeBack(k)
+	case e.Outcome != Served:
+		c.tellLater(k)
+	case k.units > 0:
+		c.rest, c.restTill = 0, g.now
+		g.granted(c, k, e.Total)
+	}
+	g.admit(c)
+}
+
 // granted keeps what fits of a block. An exact store gets the rest back. In a short window it is left: there
 // is nothing for anyone until the next, and the calls for it would be as many as those for units.
 func (g *Gateway) granted(c *customer, k call, total float64) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -24,6 +24,8 @@
 	customers map[CustomerID]*customer
 	roster    []*customer       // by first sight
 	calls     map[uint64][]call // out, by name, in order
+	lastCall  uint64
+	lost      []call // that ended with no answer lately, oldest first
 	born      float64
 
 	bound, lastCut    float64 // most attempts in flight, and when that was last cut
@@ -136,6 +138,7 @@
 
 // call is one Count whose reply is due.
 type call struct {
+	id       uint64
 	customer *customer
 	name     uint64
 	window   float64
@@ -224,9 +227,11 @@
 
 // count makes a call. Replies for one name come in the order of the calls.
 func (g *Gateway) count(k call, keep float64) {
+	g.lastCall++
+	k.id = g.lastCall
 	g.calls[k.name] = append(g.calls[k.name], k)
 	k.customer.pending(k, 1)
-	g.do(Count{Name: k.name, Amount: k.owed + k.fill + k.units, Keep: keep})
+	g.do(Count{Call: k.id, Name: k.name, Amount: k.owed + k.fill + k.units, Keep: keep})
 }
 
 // called takes the call that a reply answers off the list.
--- a/rules/types.go
+++ b/rules/types.go
@@ -232,6 +232,14 @@
 	Took    float64
 }
 
+// CounterLate tells what came of a Count that had ended as TimedOut. Not every
+// one is told of.
+type CounterLate struct {
+	Call    uint64
+	Outcome Outcome
+	Total   float64
+}
+
 // PeerMessage is data from another gateway.
 type PeerMessage struct {
 	From int
@@ -246,6 +254,7 @@
 func (ClientGone) event()   {}
 func (Timer) event()        {}
 func (CounterReply) event() {}
+func (CounterLate) event()  {}
 func (PeerMessage) event()  {}
 
 // Action is one thing for the gateway to do.
@@ -282,8 +291,9 @@
 }
 
 // Count adds to a shared number and asks for its total. A name that is new
-// starts at 0 and is forgotten after Keep.
+// starts at 0 and is forgotten after Keep. Call is what CounterLate names it by.
 type Count struct {
+	Call   uint64
 	Name   uint64
 	Amount float64
 	Keep   float64
