--- a/rules/rules.go
+++ b/rules/rules.go
@@ -969,11 +969,11 @@
 	if before-k.owed < refundLeast { // the window is new, or the counter has lost it
 		target = max(target, c.known, k.floor+c.terms.allowance-c.terms.spare)
 	}
-	if over := target - k.floor - c.terms.allowance; over > 0 && c.terms.exact && !c.terms.ceiling {
+	if over := target - k.floor - 2*c.terms.allowance; over > 0 && c.terms.exact && !c.terms.ceiling {
 		// Danger: a call in doubt that was added is missing to all gateways till the window ends, refills
-		// that nobody used among it. Spending alone does not bring a store below empty, so one that stands
-		// there proves the call, and what is beyond goes back. It covers lost, late and cut answers alike.
-		// What another gateway is about to take back looks the same; then the store is at most filled anew.
+		// that nobody used among it. Leases bring a store to empty and local shares a burst below; what is
+		// beyond proves the call and goes back. It covers lost, late and cut answers alike. What another
+		// gateway is about to take back looks the same; then the store is at most filled anew.
 		back := min(over, c.doubt)
 		c.doubt -= back
 		target -= back
