Let trials go on when most backends look bad

Cause (probe; rules.go pick): with most backends held for sick, the choice of the best of all came before the trials, and what is left out does not fade (age): at 14 to 20 s five of eight stood still at shares of 0.52 to 0.67 with nothing in flight, and the other three bore all (2,051 refusals in the queue). Trials come first now; the module's test fails without it: three stay out for 30 s.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -273,13 +273,15 @@
 		}
 	}
 	switch {
-	case 2*sick > usable:
-		// When most look bad the trouble is shared: leaving them out would only heap the work on the rest.
-		return best
 	case trial != nil:
+		// Danger: trials are all that can put right what is left out, so they come first, shared trouble or
+		// not: else most stay left out for good once they are, and the few others bear all.
 		trial.trialGap = min(2*trial.trialGap, trialMost)
 		trial.trialAt = g.now + trial.trialGap
 		return trial
+	case 2*sick > usable:
+		// When most look bad the trouble is shared: leaving them out would only heap the work on the rest.
+		return best
 	}
 	return well
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -543,6 +543,30 @@
 	}
 }
 
+// Most backends have looked bad for a while: each still gets its trials, and is back once these go well.
+func TestTrialsWhenMostLookBad(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].Rate = 0
+	d := start(t, set, some(4)...)
+	for _, s := range d.g.list {
+		if s.ID != 1 {
+			s.fail = 0.9
+		}
+	}
+	for range 600 {
+		d.now += 0.05
+		d.ask(0, 1, 1)
+		for _, s := range find[Send](d.last) {
+			d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Outcome: Served, Took: 0.05})
+		}
+	}
+	for _, s := range d.g.list {
+		if s.ejected() {
+			t.Errorf("backend %d is left out, share of failures %.2f", s.ID, s.fail)
+		}
+	}
+}
+
 // A call that was turned away is lost to nobody: what it told or took back goes out with a later one.
 func TestTurnedAwayCallIsToldLater(t *testing.T) {
 	d := start(t, testSettings(), some(2)...)
