Hand the clients' socket over in upgrades, and take calls at a second address

The operators' address (operator, EDGE_OPERATOR): /_ready, /_backends/detach and attach, /_lameduck/on and off, with callers bounded, replaced and cut off in time. The module has Detach and Attach: a backend out by hand gets nothing whatever the list says; one that is back counts as cold from then, and has a trial at once, since a cold one is dear while others are idle and would be left unused. The ban is noted in TMPDIR under a lock, and each process of an upgrade follows what the other notes. With an inherited socket (EDGE_LISTEN_FD) a process takes clients once it has its list, uses half of the limits, and at SIGTERM takes no more while its connections close with their next answers. A drain closes quiet connections after half a second. Rejected: a socket of each process with SO_REUSEPORT (what waits in the backlog of the one that ends is reset); a call from the new process to the old for the ban (gateways and their processes do not speak to each other, and the old one may hang); closing all idle connections at once at the hand-over (requests under way to them meet a closed door).

Seen to fail without their code: the module's test of a detached backend, the upgrade under load.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -1,6 +1,9 @@
 // Elderyard is one gateway on real sockets. EDGE_CONFIG names its
 // configuration; SIGHUP makes it read that again, and SIGTERM answer what it
-// holds and end. ELDERYARD_SITE names the operator's file; without it that is
+// holds and end. EDGE_OPERATOR, or operator in the configuration, is where the
+// operators' staff call. EDGE_LISTEN_FD is the descriptor of the clients'
+// listening socket where that came with the process; then two processes can take
+// turns at one address, and what must outlive that is kept in TMPDIR. ELDERYARD_SITE names the operator's file; without it that is
 // deploy/site.toml in the working folder, if there is one.
 package main
 
@@ -13,6 +16,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"linnetbend/internal/gateway"
@@ -44,12 +48,30 @@
 	if c.Site, err = operatorsFile(); err != nil {
 		return err
 	}
+	if operator := os.Getenv("EDGE_OPERATOR"); operator != "" {
+		c.Operator = operator
+	}
+	if c.Operator != "" {
+		c.StateDir = os.Getenv("TMPDIR")
+	}
+	fd := -1
+	if text := os.Getenv("EDGE_LISTEN_FD"); text != "" {
+		if fd, err = strconv.Atoi(text); err != nil || fd < 3 {
+			return fmt.Errorf("EDGE_LISTEN_FD: %q is not a descriptor that came with the process", text)
+		}
+		c.Share()
+	}
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * c.Site.Memory.HeapShare))
 	debug.SetGCPercent(c.Site.Memory.HeapGrow)
 	log.SetPrefix(c.Name + " ")
-	return gateway.Run(ctx, &c, gateway.Reload{Signal: hup,
-		Read: func() (gateway.Config, error) { return gateway.ReadConfig(path) }})
+	return gateway.Run(ctx, &c, fd, gateway.Reload{Signal: hup, Read: func() (gateway.Config, error) {
+		next, err := gateway.ReadConfig(path)
+		if fd >= 0 {
+			next.Share()
+		}
+		return next, err
+	}})
 }
 
 // operatorsFile reads the operator's file. One that is named must be there.
--- /dev/null
+++ b/cmd/elderyard/upgrade_test.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// place is what a gateway needs round it: two backends and their discovery.
+type place struct {
+	discovery *httptest.Server
+	served    [2]atomic.Int64
+}
+
+func newSite(t *testing.T) *place {
+	s := &place{}
+	list := ""
+	for i := range s.served {
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.served[i].Add(1)
+			io.WriteString(w, "ok")
+		}))
+		t.Cleanup(backend.Close)
+		if i > 0 {
+			list += ","
+		}
+		list += fmt.Sprintf(`{"instanceId":"s%d","hostPort":%q,"zone":"a","machineType":"m","lifecycle":"Ready","weight":1}`,
+			i, strings.TrimPrefix(backend.URL, "http://"))
+	}
+	s.discovery = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("since") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[%s]}`, list)
+	}))
+	t.Cleanup(func() { s.discovery.CloseClientConnections(); s.discovery.Close() })
+	return s
+}
+
+// process is one process of a gateway.
+type process struct {
+	*exec.Cmd
+	desk   string
+	stderr *bytes.Buffer
+}
+
+// start runs the program with the clients' socket as a descriptor of its own.
+func (s *place) start(t *testing.T, socket *os.File, folder string) *process {
+	t.Helper()
+	// An address of its own, so that no other test is likely to take the port before the program does.
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250))
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	desk := l.Addr().String()
+	l.Close()
+	cmd, stderr := command(t, `{"name": "n0", "listen": "127.0.0.1:1", "discovery": "`+
+		strings.TrimPrefix(s.discovery.URL, "http://")+`", "seed": "1", "limits": {"cores": 1, "memory_mb": 64, "sockets": 512},
+		"settings": {"fleetSize": 1, "tickS": 0.002, "localities": ["a"], "kinds": ["m"],
+		"allowed": {"connectTimeoutS": 1, "keepaliveS": 15, "mostTries": 2},
+		"classes": [{"name": "c", "objectiveS": 2, "deadlineS": 2, "points": 1, "effect": "repeatable"}],
+		"packages": [{"name": "p", "pays": 1}]}}`)
+	cmd.Env = append(cmd.Env, "EDGE_OPERATOR="+desk, "EDGE_LISTEN_FD=3", "TMPDIR="+folder)
+	cmd.ExtraFiles = []*os.File{socket}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	p := &process{cmd, desk, stderr}
+	for end := time.Now().Add(20 * time.Second); p.call("GET", "/_ready", "") != 200; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never ready; it said %q", stderr)
+		}
+	}
+	return p
+}
+
+// call returns the status of a call to the operators' address, 0 for none.
+func (p *process) call(method, path, body string) int {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(method, "http://"+p.desk+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// An upgrade: the new process serves on the same socket before the old one ends.
+// No request is lost or meets a closed door, on kept connections and new ones, and
+// what is out by hand stays out.
+func TestUpgradeLosesNothing(t *testing.T) {
+	s := newSite(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	folder := t.TempDir()
+	old := s.start(t, socket, folder)
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wg sync.WaitGroup
+	var asked, good, nextID atomic.Int64
+	var problems sync.Map
+	for n := range 8 {
+		wg.Go(func() {
+			transport := &http.Transport{DisableKeepAlives: n%2 == 1}
+			defer transport.CloseIdleConnections()
+			client := http.Client{Transport: transport, Timeout: 10 * time.Second}
+			for ctx.Err() == nil {
+				req, _ := http.NewRequest("GET", "http://"+l.Addr().String()+"/c/1", nil)
+				for k, v := range map[string]string{"X-Correlation-Id": fmt.Sprint(nextID.Add(1)), "X-Service-Class": "c",
+					"X-Tier": "p", "X-Api-Key": "0000000000000001", "X-Time-Left-Ms": "2000", "X-Call-Terms": "units=1,spread=1,first=0"} {
+					req.Header.Set(k, v)
+				}
+				asked.Add(1)
+				resp, err := client.Do(req)
+				if err != nil {
+					problems.Store(err.Error(), true)
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != 200 || string(body) != "ok" || err != nil {
+					problems.Store(fmt.Sprint(resp.Status, " ", err), true)
+					continue
+				}
+				good.Add(1)
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	progress := func(what string) {
+		t.Helper()
+		from := good.Load()
+		for end := time.Now().Add(20 * time.Second); good.Load() < from+200; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: only %d more answers", what, good.Load()-from)
+			}
+		}
+	}
+	progress("the old process alone")
+	if got := old.call("POST", "/_backends/detach", `{"id":"s1"}`); got != 200 {
+		t.Fatalf("out by hand: %d", got)
+	}
+	time.Sleep(50 * time.Millisecond) // what was on its way there has arrived
+	out := s.served[1].Load()
+	next := s.start(t, socket, folder)
+	progress("both")
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process: %v, saying %q", err, old.stderr)
+	}
+	progress("the new process alone")
+	if n := s.served[1].Load() - out; n > 0 {
+		t.Errorf("the backend that is out by hand got %d requests", n)
+	}
+	if got := next.call("POST", "/_backends/attach", `{"id":"s1"}`); got != 200 {
+		t.Errorf("in again: %d", got)
+	}
+	for end := time.Now().Add(20 * time.Second); s.served[1].Load() == out; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the backend that is back gets nothing")
+		}
+	}
+	stop()
+	wg.Wait()
+	problems.Range(func(what, _ any) bool { t.Error(what); return true })
+	if asked.Load() != good.Load() {
+		t.Errorf("%d of %d requests were served", good.Load(), asked.Load())
+	}
+}
+
+// A descriptor that is none ends the start with one line that says so.
+func TestBadDescriptor(t *testing.T) {
+	for _, fd := range []string{"x", "0", "77"} {
+		s := newSite(t)
+		cmd, stderr := command(t, `{"name": "n0", "listen": "127.0.0.1:1", "discovery": "`+
+			strings.TrimPrefix(s.discovery.URL, "http://")+`", "seed": "1", "limits": {"cores": 1, "memory_mb": 64, "sockets": 512},
+			"settings": {"fleetSize": 1, "tickS": 0.002, "allowed": {"connectTimeoutS": 1, "keepaliveS": 15},
+			"classes": [{"name": "c", "objectiveS": 2, "deadlineS": 2}], "packages": [{"name": "p"}]}}`)
+		cmd.Env = append(cmd.Env, "EDGE_LISTEN_FD="+fd)
+		if err := cmd.Run(); err == nil {
+			t.Errorf("descriptor %q was taken", fd)
+		}
+		if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.Contains(text, fd) {
+			t.Errorf("descriptor %q: said %q", fd, text)
+		}
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// closeQuiet closes the connections that have had no open request for the given
+// time. Danger: a request may have arrived that the server has not read; its
+// connection stays, and is closed after the answer.
+func (c *clients) closeQuiet(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for e := c.quiet.Front(); e != nil; {
+		q, next := e.Value.(quietConn), e.Next()
+		if now.Sub(q.since) < age {
+			return
+		}
+		if alive(q.Conn) {
+			q.Close()
+			c.forget(q.Conn)
+		}
+		e = next
+	}
+}
+
 // takeLast ends the taking of new connections and waits for the requests on the
 // last ones. Danger: the server drops what it reads once it has been told to end,
 // and the client would see that in place of an answer.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -21,6 +21,9 @@
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
+	Operator  string // where the operators' staff call; empty: nowhere
+	StateDir  string // what must outlive an upgrade is kept there; empty: nothing is
+	Inherited bool   // Listen is a socket that came with the process, shared with others in an upgrade
 	Discovery string
 	Counter   string // empty where the deployment has none
 	Seed      uint64
@@ -54,8 +57,8 @@
 // ParseConfig reads the text of a configuration file.
 func ParseConfig(text []byte) (Config, error) {
 	var raw struct {
-		Name, Listen, Discovery, Counter, Seed string
-		Limits                                 struct {
+		Name, Listen, Operator, Discovery, Counter, Seed string
+		Limits                                           struct {
 			Cores    float64 `json:"cores"`
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
@@ -69,7 +72,7 @@
 	if raw.Settings == nil {
 		return Config{}, errors.New("no settings")
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Counter: raw.Counter,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Operator: raw.Operator, Discovery: raw.Discovery, Counter: raw.Counter,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Known: raw.Known,
 		Site: site.Defaults()}
 	var err error
@@ -82,12 +85,22 @@
 	return c, c.check()
 }
 
+// Share takes half of the limits: with an inherited socket, two processes run
+// side by side during an upgrade, and the limits hold for both together.
+func (c *Config) Share() {
+	c.Inherited = true
+	c.MemoryMB, c.Sockets = max(c.MemoryMB/2, leastMemoryMB), max(c.Sockets/2, leastSockets)
+}
+
 // check finds what a gateway could not run with, before any socket is opened.
 func (c *Config) check() error {
 	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
 	if c.Settings.Counter {
 		addresses["counter"] = c.Counter
 	}
+	if c.Operator != "" {
+		addresses["operator"] = c.Operator
+	}
 	for key, address := range addresses {
 		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
 			return fmt.Errorf("%s: %q is not an address with a port", key, address)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -72,9 +72,16 @@
 	loop    *Loop
 	deploy  *wire.Deployment
 	ready   atomic.Bool
-	leaving atomic.Bool // connections are closed after their answer
+	leaving atomic.Bool // for good: connections are closed after their answer
+	lame    atomic.Bool // drained by hand, until the operators say otherwise
 }
 
+// serves tells whether clients may come.
+func (f *frontend) serves() bool { return f.ready.Load() && !f.closing() }
+
+// closing tells whether connections are to be closed after their answer.
+func (f *frontend) closing() bool { return f.leaving.Load() || f.lame.Load() }
+
 // server serves the clients of c, whose requests are held for the given time at
 // most.
 func (f *frontend) server(c *clients, longest time.Duration) *http.Server {
@@ -85,11 +92,11 @@
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == readyPath {
-		if !f.ready.Load() || f.leaving.Load() {
+		if f.closing() {
+			w.Header().Set("Connection", "close")
+		}
+		if !f.serves() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -109,6 +116,9 @@
 	}
 	select {
 	case a := <-x.reply:
+		if f.closing() { // as it is now: a request may have been held since before
+			w.Header().Set("Connection", "close")
+		}
 		a.write(w)
 	case <-r.Context().Done():
 		f.loop.post(clientGone{x})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,13 +28,42 @@
 	Read   func() (Config, error) // the new configuration
 }
 
-// Run serves clients until ctx ends, then answers what it holds and returns.
-func Run(ctx context.Context, c *Config, reload Reload) error {
-	listener, err := net.Listen("tcp", c.Listen)
+// Run serves clients until ctx ends, then answers what it holds and returns. Fd is
+// the clients' listening socket where that came with the process, else below 0.
+func Run(ctx context.Context, c *Config, fd int, reload Reload) error {
+	var listener net.Listener
+	var err error
+	if fd < 0 {
+		listener, err = net.Listen("tcp", c.Listen)
+	} else {
+		listener, err = inherited(fd)
+	}
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, listener, reload)
+	if c.Operator == "" {
+		return serve(ctx, c, listener, nil, reload)
+	}
+	desk, err := net.Listen("tcp", c.Operator)
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf("operator: %w", err)
+	}
+	return serve(ctx, c, listener, desk, reload)
+}
+
+// inherited makes a listener of a descriptor that came with the process.
+func inherited(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "clients")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d is none", fd)
+	}
+	defer f.Close() // the listener has a copy
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	return l, nil
 }
 
 // mostClients is how many connections of clients the limits bear.
@@ -44,7 +73,8 @@
 	return int(min(bySockets, byMemory))
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener, reload Reload) error {
+// serve is Run on sockets that are open. Desk is the operators', or nil.
+func serve(ctx context.Context, c *Config, listener, desk net.Listener, reload Reload) error {
 	most := c.mostClients()
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
 	var calls *counter
@@ -52,13 +82,25 @@
 		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
 	front := &frontend{deploy: &c.Deployment}
-	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
+	listed := make(chan struct{})
+	gotList := sync.OnceFunc(func() { front.ready.Store(true); close(listed) })
+	front.loop = newLoop(c, pools, calls, gotList)
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
+	book := newHandBook(c.StateDir, c.Name)
+	if desk != nil {
+		out, _, err := book.changed() // before the first request
+		if err != nil {
+			desk.Close()
+			listener.Close()
+			return err
+		}
+		front.loop.take(outByHand{out})
+	}
 	front.loop.list(c.Known, rules.CachedList)
 	wg.Go(func() { front.loop.run(inner) })
 	wg.Go(func() { pools.sweep(inner) })
@@ -77,15 +119,32 @@
 	unwatch := watch(c.Discovery)
 	known := time.AfterFunc(knownAfter, func() {
 		if len(c.Known.Instances) > 0 {
-			front.ready.Store(true)
+			gotList()
 		}
 	})
 	defer known.Stop()
 
 	callers := newClients(listener, most)
 	server := front.server(callers, longest(c))
+	if desk != nil {
+		staff := &operator{front: front, book: book}
+		wg.Go(func() { staff.serve(inner, desk) })
+		wg.Go(func() { staff.follow(inner) })
+		wg.Go(func() { front.empty(inner, callers) })
+	}
 	failed := make(chan error, 1)
-	wg.Go(func() { failed <- server.Serve(callers) })
+	wg.Go(func() {
+		if c.Inherited {
+			// Danger: what this process takes before it can serve, the other one would have served.
+			select {
+			case <-listed:
+			case <-ctx.Done():
+				listener.Close()
+				return
+			}
+		}
+		failed <- server.Serve(callers)
+	})
 	for discovery := c.Discovery; ; {
 		select {
 		case err := <-failed:
@@ -115,15 +174,52 @@
 	}
 }
 
+const (
+	lameLook  = 100 * time.Millisecond // between looks for idle connections of a drained gateway
+	lameQuiet = 500 * time.Millisecond // those without a request for so long are closed; the busy ones close with an answer
+)
+
+// empty closes the idle connections of clients while the gateway is drained by
+// hand, until ctx ends. New ones may come for a moment, and are served.
+func (f *frontend) empty(ctx context.Context, callers *clients) {
+	tick := time.NewTicker(lameLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if f.lame.Load() {
+				callers.closeQuiet(lameQuiet)
+			}
+		}
+	}
+}
+
+// handOver ends a process whose socket others share: what comes from now on is
+// theirs, so it takes no more. Busy connections close with their next answer; that
+// meets no request half way, so the idle ones are only closed after some quiet.
+func handOver(callers *clients) {
+	callers.Close()
+	for left := stayFor; left > 0; left -= lameLook {
+		time.Sleep(lameLook)
+		callers.closeQuiet(stayFor / 2)
+	}
+}
+
 // shutdown takes what still comes for a while, answers what is held, and ends.
 // Danger: a request may cross the closing of its idle connection; its client
 // then sends it again on a new one. So idle connections go at once, while new
 // ones are still taken, and the listener goes later.
 func shutdown(c *Config, front *frontend, callers *clients, server *http.Server) error {
 	front.leaving.Store(true)
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(stayFor)
-	callers.takeLast()
+	if c.Inherited {
+		handOver(callers)
+	} else {
+		server.SetKeepAlivesEnabled(false)
+		time.Sleep(stayFor)
+		callers.takeLast()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-stayFor-callers.cross)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,8 @@
 // rig is a whole gateway between loopback sockets.
 type rig struct {
 	address  string
+	desk     string // the operators' address, if it has one
+	state    string // the folder of what outlives an upgrade
 	registry *registry
 	stop     context.CancelFunc
 	ended    chan error
@@ -47,12 +49,21 @@
 		t.Fatal(err)
 	}
 	r.address = l.Addr().String()
+	var desk net.Listener
+	if c.Operator != "" {
+		if desk, err = net.Listen("tcp", c.Operator); err != nil {
+			t.Fatal(err)
+		}
+		r.desk = desk.Addr().String()
+		r.state = t.TempDir()
+		c.StateDir = r.state
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.config.Store(&config)
 	reload := Reload{r.hup, func() (Config, error) { return ParseConfig([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l, reload) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -34,6 +34,13 @@
 		listing Listing
 		kind    rules.ListKind
 	}
+	handCall struct { // an operator's
+		id   string
+		ask  bool // only whether the id was ever listed
+		out  bool
+		done chan error // has room for one
+	}
+	outByHand struct{ ids map[string]struct{} } // all that are, as noted
 )
 
 // Loop is the one owner of the decision module. All that happens comes to it
@@ -53,8 +60,10 @@
 	live    map[rules.RequestID]*exchange // until the last attempt has ended
 	ids     recent                        // the clients' own, of requests taken lately
 	nextID  rules.RequestID
-	names   map[rules.BackendID]string // whose id it is
-	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
+	names   map[rules.BackendID]listed // the ready ones
+	ever    everListed
+	out     map[string]struct{} // backends out by hand; the module leaves them out
+	calls   map[uint64][]*call  // by name, in order, until their replies are handed on
 	timers  timerHeap
 	actions []rules.Action
 	pending []rules.Event // events that actions brought about
@@ -63,8 +72,8 @@
 func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
 	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{},
-		calls: map[uint64][]*call{}}
+		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]listed{},
+		out: map[string]struct{}{}, calls: map[uint64][]*call{}}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
 	return l
@@ -130,6 +139,17 @@
 		l.endCall(m.k, m.outcome, m.total)
 	case news:
 		l.list(m.listing, m.kind)
+	case handCall:
+		m.done <- l.takeByHand(m)
+	case outByHand:
+		for id := range l.out {
+			if _, still := m.ids[id]; !still {
+				l.setOut(id, false)
+			}
+		}
+		for id := range m.ids {
+			l.setOut(id, true)
+		}
 	}
 }
 
@@ -178,15 +198,18 @@
 			log.Printf("discovery: %v", err)
 			continue
 		}
-		if name, known := l.names[b.ID]; known && name != i.ID {
-			log.Printf("discovery: instances %q and %q have one id; the second is left out", name, i.ID)
+		if other, known := l.names[b.ID]; known && other.name != i.ID {
+			log.Printf("discovery: instances %q and %q have one id; the second is left out", other.name, i.ID)
 			continue
 		}
 		kept[b.ID] = true
 		ev.Entries = append(ev.Entries, b)
+		l.ever.add(i.ID)
 		if b.State == rules.Ready {
-			l.names[b.ID] = i.ID
-			l.pools.update(b.ID, i.HostPort, b.Born)
+			l.names[b.ID] = listed{i.ID, i.HostPort, b.Born}
+			if _, out := l.out[i.ID]; !out {
+				l.pools.update(b.ID, i.HostPort, b.Born)
+			}
 		} else {
 			delete(l.names, b.ID)
 			l.pools.remove(b.ID)
@@ -228,6 +251,56 @@
 	}
 }
 
+// byHand passes on a call of an operator and waits for its end.
+func (l *Loop) byHand(ctx context.Context, c handCall) error {
+	c.done = make(chan error, 1)
+	if !l.post(c) {
+		return errStopped
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-l.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Loop) takeByHand(c handCall) error {
+	if _, out := l.out[c.id]; !out && !l.ever.has(c.id) {
+		return errNeverListed
+	}
+	if !c.ask {
+		l.setOut(c.id, c.out)
+	}
+	return nil
+}
+
+// setOut takes a backend out or puts it back. Its connections follow as at a
+// change of the list: no dial that waits goes on, and what is out may be answered.
+func (l *Loop) setOut(name string, out bool) {
+	if _, was := l.out[name]; was == out {
+		return
+	}
+	id := backendID(name)
+	at, ready := l.names[id]
+	ready = ready && at.name == name
+	if out {
+		l.out[name] = struct{}{}
+		if ready {
+			l.pools.remove(id)
+		}
+		l.handle(rules.Detach{Backend: id})
+		return
+	}
+	delete(l.out, name)
+	if ready {
+		l.pools.update(id, at.address, at.born)
+	}
+	l.handle(rules.Attach{Backend: id})
+}
+
 // send starts an attempt. What is over or was tried too often gets none.
 func (l *Loop) send(s rules.Send) {
 	x := l.live[s.Request]
@@ -428,6 +501,34 @@
 	}
 }
 
+// listed is what discovery says of a ready backend.
+type listed struct {
+	name, address string
+	born          float64
+}
+
+// everListed remembers the ids of backends that discovery told of, the newest
+// some thousands at least: where backends are replaced all day, ids are ever new.
+type everListed struct{ now, last map[string]struct{} }
+
+const everMost = 1 << 12 // ids of a generation; then the next begins
+
+func (e *everListed) add(id string) {
+	if _, there := e.now[id]; there {
+		return
+	}
+	if e.now == nil || len(e.now) >= everMost {
+		e.now, e.last = map[string]struct{}{}, e.now
+	}
+	e.now[id] = struct{}{}
+}
+
+func (e *everListed) has(id string) bool {
+	_, now := e.now[id]
+	_, last := e.last[id]
+	return now || last
+}
+
 // recent remembers ids for a while: those of the present span and of the last.
 type recent struct {
 	now, last map[string]struct{}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -124,6 +124,10 @@
 		g.countedLate(e)
 	case Backends:
 		g.backends(e)
+	case Detach:
+		g.detached[e.Backend] = true
+	case Attach:
+		g.attach(e.Backend)
 	}
 	g.dispatch()
 	return g.out
@@ -250,23 +254,23 @@
 	usable, sick := 0, 0
 	for _, s := range g.list {
 		busy := func(a attempt) bool { return a.on == s && !a.ended }
-		if s.State != Ready || !j.inGroup(s) || !g.coldRoom(s) || slices.ContainsFunc(j.attempts, busy) {
+		if !g.usable(s) || !j.inGroup(s) || !g.coldRoom(s) || slices.ContainsFunc(j.attempts, busy) {
 			continue
 		}
 		s.cost = g.cost(s, j)
 		if usable++; best == nil || s.cost < best.cost {
 			best = s
 		}
-		if !s.ejected() {
-			if well == nil || s.cost < well.cost {
-				well = s
+		rest := s.trialAt
+		if s.ejected() {
+			if sick++; j.class.Effect != Repeatable {
+				rest += trialMost
 			}
-			continue
+		} else if well == nil || s.cost < well.cost {
+			well = s
 		}
-		sick++
-		rest := s.trialAt
-		if j.class.Effect != Repeatable {
-			rest += trialMost
+		if !s.ejected() && !s.back {
+			continue
 		}
 		if trial == nil && g.now >= rest && len(j.attempts) == 0 {
 			trial = s
@@ -321,7 +325,7 @@
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
 	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
-	if j.done || j.streams || !j.paid || s.State != Ready || !j.inGroup(s) || stale ||
+	if j.done || j.streams || !j.paid || !g.usable(s) || !j.inGroup(s) || stale ||
 		tries >= max(g.set.MaxAttempts, 1) || j.out > 0 && !g.set.CanCopy {
 		return false
 	}
@@ -472,7 +476,7 @@
 	took := g.now - a.sent
 	switch e.Outcome {
 	case Served:
-		s.lastOK, s.missed = g.now, 0
+		s.lastOK, s.missed, s.back = g.now, 0, false
 		g.lay(s, a.sent)
 		s.fail -= failGain * s.fail
 		if !s.ejected() {
@@ -599,6 +603,17 @@
 	}
 }
 
+// attach puts a backend back. Danger: it has most likely been started anew, and the list may tell of that
+// only later, or never. So it counts as cold from now on, and what was learnt of it as an earlier process's.
+// While others are idle a cold one is dear, and might get nothing for long: it has a trial at once.
+func (g *Gateway) attach(id BackendID) {
+	if s := g.servers[id]; s != nil && g.detached[id] {
+		s.Born, s.latency, s.fail, s.missed = max(s.Born, g.now), 0, 0, 0
+		s.back, s.trialAt, s.trialGap = true, g.now, trialFirst/2
+	}
+	delete(g.detached, id)
+}
+
 // house keeps averages and leases in order.
 func (g *Gateway) house() {
 	g.timer(houseGap, timerHouse, 0, 0)
@@ -610,7 +625,7 @@
 	for _, s := range g.list {
 		g.lay(s, 0)
 		s.age(aged, g.latency)
-		if s.State == Ready && g.warmth(s) >= 1 {
+		if g.usable(s) && g.warmth(s) >= 1 {
 			warm++
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -808,7 +808,7 @@
 	}
 	timers := []timer{{100.05, timerHouse << 56}}
 	var calls []Count
-	notReady := map[BackendID]bool{}
+	notReady, detached := map[BackendID]bool{}, map[BackendID]bool{}
 	take := func(actions []Action) {
 		log = append(log, actions...)
 		for _, a := range actions {
@@ -818,8 +818,8 @@
 				if o.ended {
 					t.Fatalf("seed %d: sent request %d after its end", seed, a.Request)
 				}
-				if notReady[a.Backend] {
-					t.Fatalf("seed %d: sent to %d, which drains", seed, a.Backend)
+				if notReady[a.Backend] || detached[a.Backend] {
+					t.Fatalf("seed %d: sent to %d, which drains or is out by hand", seed, a.Backend)
 				}
 				if len(o.out) > 0 && !set.CanCopy {
 					t.Fatalf("seed %d: two attempts out", seed)
@@ -898,6 +898,14 @@
 			b.State = BackendState(rng.IntN(3))
 			notReady[b.ID] = b.State != Ready
 			take(d.handle(Backends{Kind: Delta, Entries: []Backend{b}}))
+			switch id := BackendID(1 + rng.IntN(5)); rng.IntN(4) {
+			case 0:
+				detached[id] = true
+				take(d.handle(Detach{Backend: id}))
+			case 1:
+				detached[id] = false
+				take(d.handle(Attach{Backend: id}))
+			}
 		}
 	}
 	return log
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,7 +20,8 @@
 	queues    [][]*job // by level, each in order of arrival
 	worths    []float64
 	servers   map[BackendID]*server
-	list      []*server // by id
+	detached  map[BackendID]bool // by hand
+	list      []*server          // by id
 	customers map[CustomerID]*customer
 	roster    []*customer       // by first sight
 	calls     map[uint64][]call // out, by name, in order
@@ -85,6 +86,7 @@
 	lastOK             float64
 	cost               float64 // as of the last pick
 	trialAt, trialGap  float64
+	back               bool    // put back by hand, and has served nothing since
 	budget, budgetedAt float64 // sends it may get while cold
 }
 
@@ -187,6 +189,7 @@
 	g.rng = rand.New(rand.NewPCG(seed, seed>>1))
 	g.jobs = map[RequestID]*job{}
 	g.servers = map[BackendID]*server{}
+	g.detached = map[BackendID]bool{}
 	g.customers = map[CustomerID]*customer{}
 	g.calls = map[uint64][]call{}
 	g.queues = make([][]*job, len(g.worths))
@@ -214,6 +217,9 @@
 	return s
 }
 
+// usable tells whether anything new may go to s.
+func (g *Gateway) usable(s *server) bool { return s.State == Ready && !g.detached[s.ID] }
+
 // forget drops backends that are gone and have nothing in flight.
 func (g *Gateway) forget() {
 	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
--- a/rules/types.go
+++ b/rules/types.go
@@ -240,6 +240,14 @@
 	Total   float64
 }
 
+// Detach takes a backend out by hand: it gets nothing more until Attach, whatever
+// the list says meanwhile, and whether or not it is listed yet.
+type Detach struct{ Backend BackendID }
+
+// Attach ends a Detach. The backend counts as just started, since work on it by
+// hand mostly restarts it.
+type Attach struct{ Backend BackendID }
+
 // PeerMessage is data from another gateway.
 type PeerMessage struct {
 	From int
@@ -255,6 +263,8 @@
 func (Timer) event()        {}
 func (CounterReply) event() {}
 func (CounterLate) event()  {}
+func (Detach) event()       {}
+func (Attach) event()       {}
 func (PeerMessage) event()  {}
 
 // Action is one thing for the gateway to do.
