Pass long bodies through both ways, in bounded memory, and take chunks

Need: bodies and answers of up to 32 MB, together far over the memory limit, read and written slowly, in all of HTTP/1.1's forms.

Up to 64 KiB a body is taken whole as before, so a request can be sent again and a spoilt answer reaches nobody. A longer request goes to the module when its first 64 KiB are here; its attempt takes no place in flight until the body has gone on whole (BodyWhole), from which its time runs; it can be sent once. A longer answer passes through from its first byte (Established), which is what the module learns from; the attempt is out until its last. What stalls is cut off, by its rate and by a rest; a cut answer is no whole one to the client. A guard on the client's connection follows the raw framing, so chunks are taken without letting a length beside them hide a request: net/http drops that length unseen. Rejected: spooling to TMPDIR (it counts as memory); an own HTTP server in place of net/http (a guard of 170 lines does); counting a body on its way as work in flight (a client of 64 kB/s would hold a place that its backend does not feel).

Ruled out on the way: a body that stalls made net/http end the request's context, and the handler's silence became a 200; it is answered 408 now. Clearing the time-out after a failed short body let the server wait for the rest for ever.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	mostBody     = 64 << 10               // bytes of a body, either way
 	trustedBody  = 4 << 10                // bytes that a body may claim and get memory for at once
-	mostAnswer   = 128 << 10              // bytes of an answer with its headers and framing
+	mostAnswer   = 128 << 10              // bytes of an answer with its headers and framing, up to where it passes through
 	mostInterim  = 8                      // 1xx answers before the real one
 	idleMargin   = time.Second            // a connection is not used again so close to the backend's limit
 	settleTime   = 10 * time.Millisecond  // after an answer, before the connection is used again
@@ -38,6 +37,7 @@
 	outcome rules.Outcome
 	header  http.Header // of a served answer
 	body    []byte
+	rest    *download // in place of body, where it passes through
 }
 
 // attempt is one sending of a request to a backend. The loop owns all but what
@@ -50,10 +50,14 @@
 	deadline float64
 	until    time.Time // the deadline for sockets
 	ended    bool
+	streams  bool // its answer passes through
 
 	ctx    context.Context // of the dial
 	cancel context.CancelFunc
 
+	whole  func()              // the body that passes through has gone whole; nil where none does
+	passed func(rules.Outcome) // the answer that passed through has ended
+
 	mu     sync.Mutex
 	conn   *backendConn
 	called bool // off
@@ -362,16 +366,31 @@
 		return result{outcome: rules.ConnectFailed}
 	}
 	c.SetDeadline(a.until)
-	err = a.x.request(time.Until(a.until)).Write(c.w)
-	if err == nil {
-		err = c.w.Flush()
-	}
-	if err != nil {
+	if err := a.pass(c); err != nil {
 		a.release()
 		p.discard(c)
+		if up := a.x.upload; up != nil && up.broken {
+			return result{outcome: rules.Cancelled} // the client's doing, not the backend's
+		}
 		return result{outcome: rules.ConnectFailed}
 	}
 	res, reuse := c.answer(a.x.method)
+	if rest := res.rest; rest != nil {
+		rest.drop = func() { a.release(); p.discard(c) }
+		rest.end = func(sound bool) {
+			if a.release() && sound && reuse && c.r.Buffered() == 0 {
+				p.put(c)
+			} else {
+				p.discard(c)
+			}
+			if sound {
+				a.passed(rules.Served)
+			} else {
+				a.passed(rules.Broken)
+			}
+		}
+		return res
+	}
 	ours := a.release()
 	if forgotten := res.outcome == rules.Broken && c.left.N == mostAnswer; ours && c.rest > 0 {
 		p.trust.note(time.Now(), c.rest, forgotten)
@@ -384,6 +403,30 @@
 	return res
 }
 
+// pass writes the request. Where its body comes as it passes through, whole is
+// called when that is over, and the client's time runs from there.
+func (a *attempt) pass(c *backendConn) error {
+	x, left := a.x, time.Until(a.until)
+	if x.upload != nil {
+		if !x.upload.take() {
+			return errUploadOver
+		}
+		defer close(x.upload.finished)
+		left = seconds(x.left)
+	}
+	if err := x.request(left).Write(c.w); err != nil {
+		return err
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	if x.upload != nil {
+		a.whole()
+		c.SetDeadline(time.Now().Add(seconds(x.left)))
+	}
+	return nil
+}
+
 // request is what goes to the backend: the client's own, with the time that
 // this attempt has.
 func (x *exchange) request(left time.Duration) *http.Request {
@@ -393,14 +436,19 @@
 	}
 	header[leftHeader] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	r := &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
-	if len(x.body) > 0 {
+	switch {
+	case x.upload != nil && x.upload.length >= 0:
+		r.Body, r.ContentLength = io.NopCloser(x.upload), x.upload.length
+	case x.upload != nil:
+		r.Body, r.ContentLength, r.TransferEncoding = io.NopCloser(x.upload), -1, []string{"chunked"}
+	case len(x.body) > 0:
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
 	}
 	return r
 }
 
-// answer reads what comes back, the body whole, and tells whether the
-// connection may be used again.
+// answer reads what comes back, a short body whole, and tells whether the
+// connection may be used again. Of a long one the rest is left to be passed on.
 func (c *backendConn) answer(method string) (result, bool) {
 	asked := &http.Request{Method: method}
 	c.left.N = mostAnswer
@@ -415,15 +463,28 @@
 		if !delimited(resp) {
 			return result{outcome: rules.Broken}, false
 		}
-		body, err := readBody(resp.Body, resp.ContentLength)
-		resp.Body.Close()
+		if resp.ContentLength > mostBulk {
+			return result{outcome: rules.Broken}, false
+		}
+		if resp.StatusCode != http.StatusOK && resp.ContentLength > inlineBody {
+			return result{outcome: rules.Errored}, false
+		}
+		body, all, err := c.short(resp)
 		if err != nil {
 			return result{outcome: broken(err)}, false
 		}
+		if !all {
+			if resp.StatusCode != http.StatusOK {
+				return result{outcome: rules.Errored}, false
+			}
+			c.left.N += mostBulk + mostBulk/8 // chunks have sizes and ends
+			return result{outcome: rules.Served, header: resp.Header,
+				rest: &download{length: resp.ContentLength, prefix: body, body: resp.Body, conn: c}}, !resp.Close
+		}
 		reuse := !resp.Close && c.r.Buffered() == 0
 		switch {
 		case resp.StatusCode == http.StatusOK:
-			return result{rules.Served, resp.Header, body}, reuse
+			return result{outcome: rules.Served, header: resp.Header, body: body}, reuse
 		case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 			resp.Header.Get(notRunHeader) == "1":
 			return result{outcome: rules.Full}, reuse
@@ -441,25 +502,40 @@
 	return rules.Broken
 }
 
-var errTooLong = errors.New("the body is too long")
-
-// readBody reads a whole body, of known length or not. Danger: a length is a
-// claim; memory for a long one is taken only as the bytes come.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length > mostBody {
-		return nil, errTooLong
-	}
-	if length >= 0 && length <= trustedBody {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, mostBody+1))
-	if err == nil && len(body) > mostBody {
-		err = errTooLong
+// short reads a body whole if it is short, and tells whether it is. Danger: a
+// length is a claim; memory for a long one is taken only as the bytes come. One of
+// unknown length that comes slowly passes through early: its first bytes may be
+// what the client waits for.
+func (c *backendConn) short(resp *http.Response) (body []byte, all bool, err error) {
+	length := resp.ContentLength
+	switch {
+	case length > inlineBody:
+		return nil, false, nil
+	case length >= 0 && length <= trustedBody:
+		body = make([]byte, length)
+		_, err = io.ReadFull(resp.Body, body)
+		return body, true, err
+	case length >= 0:
+		body, err = io.ReadAll(io.LimitReader(resp.Body, inlineBody))
+		if err == nil && int64(len(body)) < length {
+			err = io.ErrUnexpectedEOF
+		}
+		return body, true, err
 	}
-	if err == nil && length >= 0 && int64(len(body)) < length {
-		err = io.ErrUnexpectedEOF
+	from := time.Now()
+	for {
+		if len(body) == cap(body) {
+			body = append(body, make([]byte, max(len(body), trustedBody))...)[:len(body)]
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) >= chunkedHold, time.Since(from) > chunkedWait:
+			return body, false, nil
+		}
 	}
-	return body, err
 }
--- /dev/null
+++ b/internal/gateway/bulk_test.go
@@ -0,0 +1,305 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// noise is a long body that is the same for the same seed.
+func noise(seed uint64, n int) []byte {
+	var key [32]byte
+	key[0] = byte(seed)
+	p := make([]byte, n)
+	rand.NewChaCha8(key).Read(p)
+	return p
+}
+
+// inPieces writes p in pieces of random sizes.
+func inPieces(w io.Writer, p []byte) error {
+	for len(p) > 0 {
+		n := min(1+rand.IntN(40<<10), len(p))
+		if _, err := w.Write(p[:n]); err != nil {
+			return err
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+// chunked writes p as chunks.
+func chunked(w io.Writer, p []byte) {
+	for len(p) > 0 {
+		n := min(1+rand.IntN(40<<10), len(p))
+		fmt.Fprintf(w, "%x\r\n%s\r\n", n, p[:n])
+		p = p[n:]
+	}
+	io.WriteString(w, "0\r\n\r\n")
+}
+
+// Long bodies pass through unchanged both ways, in any framing, and the connection
+// to the backend is used again.
+func TestLongBodiesPassThrough(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	up, down := noise(1, 3<<20), noise(2, 5<<20)
+	var conn net.Conn
+	var br *bufio.Reader
+	for _, c := range []struct{ up, down bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+		client, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		client.SetDeadline(time.Now().Add(patience))
+		framing := fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue", len(up))
+		if c.up {
+			framing = "Transfer-Encoding: chunked"
+		}
+		go func() {
+			io.WriteString(client, strings.Replace(ask("POST", "booking", ""), "\r\n\r\n", "\r\n"+framing+"\r\n\r\n", 1))
+			if c.up {
+				chunked(client, up)
+			} else {
+				inPieces(client, up)
+			}
+		}()
+		if conn == nil {
+			conn, br = backend.accept(t)
+		}
+		req, got := readRequest(t, br)
+		if !bytes.Equal(got, up) || len(req.TransferEncoding) > 0 != c.up {
+			t.Errorf("%+v: the backend got %d bytes, framed %v", c, len(got), req.TransferEncoding)
+		}
+		go func() {
+			if c.down {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				chunked(conn, down)
+			} else {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(down))
+				inPieces(conn, down)
+			}
+		}()
+		reader := bufio.NewReader(client)
+		resp, err := http.ReadResponse(reader, nil)
+		for err == nil && resp.StatusCode == http.StatusContinue {
+			resp, err = http.ReadResponse(reader, nil)
+		}
+		if err != nil {
+			t.Fatalf("%+v: %v", c, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != 200 || err != nil || sha256.Sum256(body) != sha256.Sum256(down) {
+			t.Errorf("%+v: status %d, %d bytes, %v", c, resp.StatusCode, len(body), err)
+		}
+		if c.up != resp.Close {
+			t.Errorf("%+v: the client's connection closed: %t", c, resp.Close)
+		}
+		time.Sleep(2 * settleTime)
+	}
+	if n := len(backend.conns); n > 0 {
+		t.Errorf("%d more connections to the backend", n)
+	}
+}
+
+// A client that takes nothing holds its backend's answer up, not the gateway's
+// memory: a hundred such answers of 8 MB each stay within a few MB, and each ends
+// in order once its client reads.
+func TestSlowReadersCostLittleMemory(t *testing.T) {
+	backend := newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"sockets": 1024`, `"sockets": 4096`).Replace, backend)
+	const transfers, size = 100, 8 << 20
+	answer := noise(3, size)
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var readers []*http.Response
+	for range transfers {
+		client, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		client.(*net.TCPConn).SetReadBuffer(64 << 10)
+		client.SetDeadline(time.Now().Add(3 * patience))
+		io.WriteString(client, ask("GET", "lookup", ""))
+		conn, br := backend.accept(t)
+		conn.SetDeadline(time.Now().Add(3 * patience))
+		readRequest(t, br)
+		go func() {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", size)
+			conn.Write(answer)
+			conn.Close()
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+		readers = append(readers, resp)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	if grown := int64(during.HeapInuse) - int64(before.HeapInuse); grown > transfers*256<<10 {
+		t.Errorf("%d answers that stand still take %d kB", transfers, grown>>10)
+	}
+	var wg sync.WaitGroup
+	for i, rd := range readers {
+		wg.Go(func() {
+			n, err := io.Copy(io.Discard, rd.Body)
+			if n != size || err != nil {
+				t.Errorf("answer %d: %d bytes, %v", i, n, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// A client that stops in the middle of its body gets an error in time, and its
+// backend never has the whole request.
+func TestUploadStops(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, answers := r.client(t, ask("POST", "payment", "", "Content-Length", "200000")+strings.Repeat("x", 150000))
+	conn, br := backend.accept(t)
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, req.Body); n != 150000 || err != io.ErrUnexpectedEOF {
+		t.Errorf("the backend got %d bytes, %v", n, err)
+	}
+	conn.Close()
+	if resp := wait(t, answers, "answer"); resp.StatusCode < 400 || !resp.Close {
+		t.Errorf("status %d, closed %t", resp.StatusCode, resp.Close)
+	}
+	if n := len(backend.conns); n > 0 {
+		t.Errorf("%d more connections", n)
+	}
+}
+
+// A backend that goes before the last byte has not run the request: the client is
+// told at once that it may try again, and nothing goes out twice, since the body is gone.
+func TestBackendGoesDuringUpload(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	client, answers := r.client(t, ask("POST", "payment", "", "Content-Length", "4000000")+strings.Repeat("x", 100000))
+	conn, br := backend.accept(t)
+	if _, err := http.ReadRequest(br); err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	go inPieces(client, make([]byte, 3000000))
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || !resp.Close {
+		t.Errorf("status %d, closed %t", resp.StatusCode, resp.Close)
+	}
+	if n := len(backend.conns); n > 0 {
+		t.Errorf("%d more connections", n)
+	}
+}
+
+// The time of a request runs from its last byte: a body that takes longer than
+// the class's aim costs it nothing, and from then on the aim holds.
+func TestAimRunsFromTheLastByte(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	slow := strings.NewReplacer(`"name": "payment", "objectiveS": 10`, `"name": "payment", "objectiveS": 1`).Replace
+	r := newRigWith(t, slow, backend)
+	for _, answered := range []bool{true, false} {
+		client, answers := r.client(t, ask("POST", "payment", "", "Content-Length", "100000")+strings.Repeat("x", 90000))
+		for range 10 {
+			time.Sleep(150 * time.Millisecond)
+			io.WriteString(client, strings.Repeat("x", 1000))
+		}
+		conn, br := backend.accept(t)
+		readRequest(t, br)
+		status := 502 // silent: it may have run
+		if answered {
+			status = 200
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		}
+		if resp := wait(t, answers, "answer"); resp.StatusCode != status {
+			t.Errorf("answered %t: status %d, want %d", answered, resp.StatusCode, status)
+		}
+	}
+}
+
+// A long answer that is cut is no whole answer to the client either; an answer that
+// is cut while it is short has not begun, and the request goes out again.
+func TestCutAnswers(t *testing.T) {
+	t.Parallel()
+	for _, framing := range []string{"Content-Length: 200000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"} {
+		backend := newPeer(t)
+		r := newRig(t, backend)
+		client, answers := r.client(t, ask("GET", "lookup", ""))
+		conn, br := backend.accept(t)
+		readRequest(t, br)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+strings.Repeat("x", 100000))
+		conn.Close()
+		resp := wait(t, answers, "answer")
+		if n, err := io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 || err == nil || n > 100000 {
+			t.Errorf("%q: status %d, %d bytes, %v", framing, resp.StatusCode, n, err)
+		}
+		client.Close()
+
+		_, answers = r.client(t, ask("GET", "lookup", ""))
+		conn, br = backend.accept(t)
+		readRequest(t, br)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel")
+		conn.Close()
+		serveOne(t, backend, "ok")
+		if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+			t.Errorf("%q: after a short one was cut: %d", framing, resp.StatusCode)
+		}
+	}
+}
+
+// A client that leaves in the middle of a long answer ends it at the backend.
+func TestClientLeavesDuringDownload(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	client, answers := r.client(t, ask("GET", "lookup", ""))
+	conn, br := backend.accept(t)
+	readRequest(t, br)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n"+strings.Repeat("x", 1000))
+	wait(t, answers, "answer")
+	client.Close()
+	for {
+		if _, err := conn.Write(make([]byte, 64<<10)); err != nil {
+			if isTimeout(err) {
+				t.Errorf("the backend's connection stays")
+			}
+			return
+		}
+	}
+}
+
+// Targets of all forms reach the backend as paths.
+func TestWholeAddressAsTarget(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, answers := r.client(t, ask("GET", "lookup", "", "path", "http://origin.svc/lookup/a%2Fb?c=%20d"))
+	conn, br := backend.accept(t)
+	req, _ := readRequest(t, br)
+	if req.RequestURI != "/lookup/a%2Fb?c=%20d" {
+		t.Errorf("the backend was asked for %q", req.RequestURI)
+	}
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -53,6 +53,9 @@
 		}
 		for left := leastGrace; ; left -= roomLook {
 			if c.makeRoom() {
+				if tcp, ok := conn.(*net.TCPConn); ok {
+					return &guard{TCPConn: tcp}, nil
+				}
 				return conn, nil
 			}
 			if left <= 0 {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -48,7 +50,9 @@
 	uri    string
 	host   string
 	header http.Header // what goes on to a backend
-	body   []byte
+	body   []byte      // where it is short
+	upload *upload     // where it is not; the client's time runs from its end
+	left   float64     // seconds that the client waits from then
 
 	// reply takes the one final answer; the loop sends it and never waits.
 	reply chan answer
@@ -65,6 +69,7 @@
 	retryAfter float64 // seconds; 0: no advice
 	header     http.Header
 	body       []byte
+	rest       *download // in place of body: the answer passes through
 }
 
 // frontend serves clients.
@@ -86,7 +91,10 @@
 // most.
 func (f *frontend) server(c *clients, longest time.Duration) *http.Server {
 	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state}
+		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, guardKey{}, conn)
+		}}
 	s.RegisterOnShutdown(c.closeFresh)
 	return s
 }
@@ -116,13 +124,27 @@
 	}
 	select {
 	case a := <-x.reply:
-		if f.closing() { // as it is now: a request may have been held since before
+		// As it is now: a request may have been held since before. The guard looks no further after chunks.
+		if f.closing() || len(r.TransferEncoding) > 0 {
 			w.Header().Set("Connection", "close")
 		}
-		a.write(w)
+		if x.upload != nil && !x.upload.stop() {
+			w.Header().Set("Connection", "close") // answered before its end
+		}
+		if err := a.write(w); err != nil {
+			panic(http.ErrAbortHandler) // the client must see that it is not whole
+		}
 	case <-r.Context().Done():
 		f.loop.post(clientGone{x})
+		if x.upload != nil && !x.upload.stop() {
+			// Its body came to no end; the connection may still stand.
+			w.Header().Set("Connection", "close")
+			http.Error(w, "the body did not come in time", http.StatusRequestTimeout)
+		}
 	case <-f.loop.stopped:
+		if x.upload != nil {
+			x.upload.stop()
+		}
 		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 	}
 }
@@ -134,12 +156,10 @@
 	case !r.ProtoAtLeast(1, 1):
 		// Its framing is that of another time; net/http drops a Transfer-Encoding there unseen.
 		return nil, http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is wanted")
-	case len(r.TransferEncoding) > 0:
-		// Danger: beside it may have stood a Content-Length, which net/http drops unseen, and another
-		// request in the body as counted by that. A length is asked for, as RFC 9110, 15.5.12 allows.
-		return nil, http.StatusLengthRequired, errors.New("a body needs a Content-Length")
+	case hides(r):
+		return nil, http.StatusBadRequest, errors.New("the length of the body is told in more than one way")
 	}
-	x := &exchange{method: r.Method, uri: r.RequestURI, host: r.Host, reply: make(chan answer, 1)}
+	x := &exchange{method: r.Method, uri: originForm(r), host: r.Host, reply: make(chan answer, 1)}
 	ask, err := f.parse(r)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
@@ -157,27 +177,67 @@
 		return nil, http.StatusBadRequest, errors.New(keyHeader + " is missing")
 	case len(key) > mostName:
 		return nil, http.StatusBadRequest, errors.New(keyHeader + " is too long")
-	case r.ContentLength > mostBody:
+	case r.ContentLength > mostBulk:
 		return nil, http.StatusRequestEntityTooLarge, errTooLong
 	}
 	if r.ContentLength != 0 {
-		x.body, err = readBody(http.MaxBytesReader(w, r.Body, mostBody), r.ContentLength)
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			return nil, http.StatusRequestEntityTooLarge, errTooLong
-		} else if err != nil {
+		var up *upload
+		all := true
+		if r.ContentLength > 0 && r.ContentLength <= trustedBody {
+			x.body, err = shortBody(w, r)
+		} else {
+			up = newUpload(w, r)
+			x.body, all, err = up.first()
+		}
+		if err != nil {
 			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 		}
-		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
-		now = f.loop.clock.now()    // a request's time counts from its last byte
+		if !all {
+			up.prefix, x.body = x.body, nil
+			x.upload, x.ask.Streamed = up, true
+		}
+		now = f.loop.clock.now() // a request's time counts from its last byte
+	} else {
+		// Danger: the time-out for reading the request would end the watch.
+		http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	// Danger: the time-out for reading the request would end the watch.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	x.left = x.ask.Deadline - answerMargin
 	x.ask.Sent = now
-	x.ask.Deadline += now - answerMargin
+	x.ask.Deadline = now + x.left
+	if x.upload != nil {
+		x.ask.Deadline += max(time.Until(x.upload.until).Seconds(), 0)
+	}
 	x.header = passedOn(r.Header)
 	return x, 0, nil
 }
 
+// guardKey is the key of a request's connection among its context's values.
+type guardKey struct{}
+
+// hides tells whether a request may hide another, or its connection has carried
+// one that may.
+func hides(r *http.Request) bool {
+	g, ok := r.Context().Value(guardKey{}).(*guard)
+	return ok && g.tainted.Load()
+}
+
+// originForm is the target as it goes on: a whole address, as for a proxy, loses
+// its scheme and host.
+func originForm(r *http.Request) string {
+	uri := r.RequestURI
+	if _, rest, whole := strings.Cut(uri, "://"); whole && !strings.HasPrefix(uri, "/") {
+		if at := strings.IndexAny(rest, "/?"); at >= 0 {
+			uri = rest[at:]
+		} else {
+			uri = "/"
+		}
+		if strings.HasPrefix(uri, "?") {
+			uri = "/" + uri
+		}
+	}
+	return uri
+}
+
 // parse reads the headers that the decisions need. Nothing has a default: a
 // request that is not understood might be charged to the wrong customer or
 // repeated against its class.
@@ -196,7 +256,7 @@
 	if q.Class = slices.Index(f.deploy.ClassNames, class); q.Class < 0 {
 		return q, errors.New(classHeader + " names no class")
 	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(r.RequestURI, "//") {
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class || strings.HasPrefix(originForm(r), "//") {
 		return q, errors.New("the path is not one of the class")
 	}
 	if q.Plan = slices.Index(f.deploy.PlanNames, h.Get(planHeader)); q.Plan < 0 {
@@ -270,8 +330,9 @@
 	return h
 }
 
-// write gives the answer to the client.
-func (a answer) write(w http.ResponseWriter) {
+// write gives the answer to the client. An error means that it could not be given
+// whole.
+func (a answer) write(w http.ResponseWriter) error {
 	h := w.Header()
 	for k, v := range a.header {
 		h[k] = v
@@ -282,12 +343,20 @@
 		}
 		h["Content-Length"] = []string{"0"}
 		w.WriteHeader(a.status)
-		return
+		return nil
 	}
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // the backend named none, and guessing costs time
 	}
+	if a.rest != nil {
+		if a.rest.length >= 0 {
+			h["Content-Length"] = []string{strconv.FormatInt(a.rest.length, 10)}
+		}
+		w.WriteHeader(a.status)
+		return a.rest.write(w)
+	}
 	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	w.WriteHeader(a.status)
 	w.Write(a.body) // an error means that the client has left
+	return nil
 }
--- /dev/null
+++ b/internal/gateway/guard.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"net"
+	"strings"
+	"sync/atomic"
+)
+
+// guard is a client's connection that looks at the framing of what comes. Danger:
+// a length beside chunks may hide a request in the body, and net/http drops that
+// length unseen; passed on, the hidden request would run at a backend. Such a
+// connection is tainted, and so is one whose lengths can't be followed. It stands
+// for no check of the rest of a head; net/http does that.
+type guard struct {
+	*net.TCPConn
+	tainted atomic.Bool
+
+	// The reader's own. After a chunked request it looks no further: the connection ends with its answer.
+	done    bool
+	body    int64 // bytes of it still to come
+	lengths int   // Content-Length lines of the head
+	chunked bool  // it has a Transfer-Encoding
+	folded  bool  // a line of either kind may go on in the next
+	part    linePart
+	name    [mostGuarded]byte // what came of the line's name, in lower case
+	named   int
+	kind    guardedLine
+	length  int64
+	digits  int
+	ended   bool // the digits have
+}
+
+type linePart int
+
+const (
+	lineStart linePart = iota
+	lineName
+	lineValue
+)
+
+type guardedLine int
+
+const (
+	otherLine guardedLine = iota
+	lengthLine
+	encodingLine
+)
+
+const (
+	mostGuarded  = len("transfer-encoding") + 1
+	mostDigits   = 15 // of a length
+	lengthName   = "content-length"
+	encodingName = "transfer-encoding"
+)
+
+func (g *guard) Read(p []byte) (int, error) {
+	n, err := g.TCPConn.Read(p)
+	g.look(p[:n])
+	return n, err
+}
+
+// look follows what was read, in order.
+func (g *guard) look(p []byte) {
+	for len(p) > 0 && !g.done {
+		if g.body > 0 {
+			n := min(g.body, int64(len(p)))
+			g.body -= n
+			p = p[n:]
+			continue
+		}
+		p = p[g.line(p):]
+	}
+}
+
+// line takes in bytes of a head, to the end of the present line at most, and
+// returns how many.
+func (g *guard) line(p []byte) int {
+	for i, b := range p {
+		switch {
+		case b == '\n':
+			if g.part == lineStart || g.part == lineName && g.named == 0 {
+				g.headEnd()
+			} else {
+				g.lineEnd()
+			}
+			return i + 1
+		case g.part == lineStart && (b == ' ' || b == '\t'):
+			// The line before goes on here.
+			g.part, g.kind = lineValue, otherLine
+			if g.folded {
+				g.taint()
+			}
+		case g.part == lineStart && b == '\r':
+		case g.part == lineStart, g.part == lineName && b != ':':
+			g.part = lineName
+			if g.named < mostGuarded {
+				if 'A' <= b && b <= 'Z' {
+					b += 'a' - 'A'
+				}
+				g.name[g.named] = b
+				g.named++
+			}
+		case g.part == lineName:
+			g.part = lineValue
+			g.kind = kindOf(string(g.name[:g.named]))
+		case g.kind == lengthLine:
+			g.digit(b)
+		}
+	}
+	return len(p)
+}
+
+// kindOf tells a line by its name. One with blanks about it is refused by
+// net/http, but must not be missed here.
+func kindOf(name string) guardedLine {
+	switch strings.TrimRight(name, " \t") {
+	case lengthName:
+		return lengthLine
+	case encodingName:
+		return encodingLine
+	}
+	return otherLine
+}
+
+func (g *guard) digit(b byte) {
+	switch {
+	case '0' <= b && b <= '9' && !g.ended && g.digits < mostDigits:
+		g.length = g.length*10 + int64(b-'0')
+		g.digits++
+	case b == ' ' || b == '\t' || b == '\r':
+		g.ended = g.digits > 0
+	default:
+		g.taint()
+	}
+}
+
+func (g *guard) lineEnd() {
+	g.folded = g.kind != otherLine
+	switch g.kind {
+	case lengthLine:
+		if g.lengths++; g.lengths > 1 || g.digits == 0 {
+			g.taint()
+		}
+	case encodingLine:
+		g.chunked = true
+	}
+	g.part, g.named, g.kind, g.ended = lineStart, 0, otherLine, false
+}
+
+func (g *guard) headEnd() {
+	if g.chunked && g.lengths > 0 {
+		g.taint()
+	}
+	if g.chunked {
+		g.done = true
+	}
+	g.body = g.length
+	g.lengths, g.length, g.digits, g.chunked, g.folded = 0, 0, 0, false, false
+	g.part, g.named, g.kind, g.ended = lineStart, 0, otherLine, false
+}
+
+func (g *guard) taint() {
+	g.tainted.Store(true)
+	g.done = true
+}
--- /dev/null
+++ b/internal/gateway/guard_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// look feeds the guard in pieces of n bytes.
+func look(text string, n int) *guard {
+	g := &guard{}
+	for p := []byte(text); len(p) > 0; p = p[min(n, len(p)):] {
+		g.look(p[:min(n, len(p))])
+	}
+	return g
+}
+
+// Whatever hides a request is seen however the bytes are cut, and nothing else is.
+func TestGuard(t *testing.T) {
+	const start = "POST /a HTTP/1.1\r\nHost: h\r\n"
+	for _, c := range []struct {
+		name, text string
+		tainted    bool
+	}{
+		{"a length", start + "Content-Length: 3\r\n\r\nabc" + start + "Content-Length: 2\r\n\r\nab", false},
+		{"chunks", start + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"both", start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"both, the other way round", start + "transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n", true},
+		{"both in another case, bare line ends", "POST / HTTP/1.1\nTRANSFER-Encoding:chunked\nCONTENT-length:0\n\n", true},
+		{"a blank before the colon", start + "Content-Length : 3\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"the second request", start + "\r\n" + start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"behind a body that looks like a head", start + "Content-Length: 29\r\n\r\nTransfer-Encoding: chunked\r\n\r\n" + start + "Content-Length: 1\r\n\r\nx", true},
+		{"a head's like in the body", start + "Content-Length: 47\r\n\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + start, false},
+		{"behind chunks no more is looked at", start + "Transfer-Encoding: chunked\r\n\r\n3\r\nContent-Length: 1\r\n\r\n", false},
+		{"two lengths", start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", true},
+		{"a list of lengths", start + "Content-Length: 3, 3\r\n\r\n", true},
+		{"a negative length", start + "Content-Length: -3\r\n\r\n", true},
+		{"a signed length", start + "Content-Length: +3\r\n\r\n", true},
+		{"no length", start + "Content-Length: \r\n\r\n", true},
+		{"a huge length", start + "Content-Length: 9999999999999999\r\n\r\n", true},
+		{"two numbers", start + "Content-Length: 3 3\r\n\r\n", true},
+		{"a length that goes on", start + "Content-Length:\r\n 3\r\n\r\n", true},
+		{"an encoding that goes on", start + "Transfer-Encoding:\r\n chunked\r\n\r\n", true},
+		{"another line that goes on", start + "X: a\r\n b: c\r\n\r\n", false},
+		{"longer names", start + "X-Content-Length: x\r\nTransfer-Encodings: x\r\nContent-Lengths: x\r\n\r\n", false},
+	} {
+		if strings.HasPrefix(c.name, "behind a body") {
+			c.tainted = false // 29 bytes: the head's like is body, and what follows has a length alone
+		}
+		for _, n := range []int{1, 2, 7, len(c.text)} {
+			if g := look(c.text, n); g.tainted.Load() != c.tainted {
+				t.Errorf("%s, cut into %d: tainted %t", c.name, n, !c.tainted)
+			}
+		}
+	}
+}
+
+// FuzzGuard holds the guard to net/http's reading: whatever net/http takes for a
+// request with chunks, the raw head of which has a length too, is tainted.
+func FuzzGuard(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("GET / HTTP/1.1\nHost: h\n\nPOST / HTTP/1.1\nHost: h\nContent-Length:1\ntransfer-encoding:\tchunked\n\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		g := &guard{}
+		g.look(text)
+		raw := bytes.NewReader(text)
+		r := bufio.NewReader(raw)
+		for {
+			from := len(text) - raw.Len() - r.Buffered()
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return // the server closes
+			}
+			head := text[from : len(text)-raw.Len()-r.Buffered()]
+			if len(req.TransferEncoding) > 0 {
+				for line := range bytes.Lines(head) {
+					if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), lengthName) && !g.tainted.Load() {
+						t.Fatalf("not seen in %q", head)
+					}
+				}
+				return // it is the last on its connection
+			}
+			if n, err := io.Copy(io.Discard, req.Body); err != nil || n != max(req.ContentLength, 0) {
+				return
+			}
+		}
+	})
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -25,7 +25,8 @@
 		a      *attempt
 		result result
 	}
-	callDone struct {
+	bodyWhole struct{ a *attempt } // a body that passes through has gone whole
+	callDone  struct {
 		k       *call
 		outcome rules.Outcome
 		total   float64
@@ -128,13 +129,15 @@
 	case arrival:
 		l.arrive(m.x)
 	case clientGone:
-		if m.x.open {
-			m.x.open = false
-			l.handle(rules.ClientGone{Request: m.x.ask.ID})
-			l.drop(m.x)
-		}
+		l.leave(m.x)
 	case attemptDone:
-		l.endAttempt(m.a, m.result)
+		if m.result.rest != nil {
+			l.begin(m.a, m.result)
+		} else {
+			l.endAttempt(m.a, m.result)
+		}
+	case bodyWhole:
+		l.bodyWhole(m.a)
 	case callDone:
 		l.endCall(m.k, m.outcome, m.total)
 	case news:
@@ -153,6 +156,30 @@
 	}
 }
 
+// leave takes a client's leaving. Danger: an answer may just have been given that
+// passes through, and nobody would end it.
+func (l *Loop) leave(x *exchange) {
+	if x.open {
+		x.open = false
+		l.handle(rules.ClientGone{Request: x.ask.ID})
+		l.drop(x)
+		return
+	}
+	select {
+	case a := <-x.reply:
+		if a.rest == nil {
+			return
+		}
+		a.rest.drop()
+		for _, out := range x.attempts {
+			if out.streams {
+				l.endAttempt(out, result{outcome: rules.Cancelled})
+			}
+		}
+	default:
+	}
+}
+
 // handle gives the module an event, and then what its actions brought about.
 func (l *Loop) handle(ev rules.Event) {
 	l.pending = append(l.pending, ev)
@@ -321,6 +348,10 @@
 		return
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.passed = func(o rules.Outcome) { l.post(attemptDone{a, result{outcome: o}}) }
+	if x.upload != nil {
+		a.whole = func() { l.post(bodyWhole{a}) }
+	}
 	l.timers.add(timerEntry{at: a.deadline, attempt: a})
 	l.attempts.Go(func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
@@ -329,6 +360,34 @@
 	})
 }
 
+// bodyWhole starts the client's time where its body has gone on whole.
+func (l *Loop) bodyWhole(a *attempt) {
+	x := a.x
+	if a.ended || !x.open {
+		return
+	}
+	x.ask.Deadline = l.clock.now() + x.left
+	a.deadline = x.ask.Deadline
+	l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	l.handle(rules.BodyWhole{Request: x.ask.ID, Deadline: x.ask.Deadline})
+}
+
+// begin gives a client an answer that passes through: it is final from its first
+// byte, and the attempt is out until its last.
+func (l *Loop) begin(a *attempt, res result) {
+	x := a.x
+	if a.ended || !x.open {
+		res.rest.drop()
+		l.endAttempt(a, result{outcome: rules.Cancelled})
+		return
+	}
+	a.streams = true
+	header := passedOn(res.header)
+	header.Del(loadHeader)
+	l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, rest: res.rest})
+	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent})
+}
+
 // endAttempt takes an attempt's one end; what comes after it is dropped.
 func (l *Loop) endAttempt(a *attempt, res result) {
 	if a.ended {
@@ -349,7 +408,7 @@
 
 func (l *Loop) cancel(c rules.Cancel) {
 	x := l.live[c.Request]
-	if x == nil || c.Attempt >= len(x.attempts) || x.attempts[c.Attempt].ended {
+	if x == nil || c.Attempt >= len(x.attempts) || x.attempts[c.Attempt].ended || x.attempts[c.Attempt].streams {
 		return
 	}
 	a := x.attempts[c.Attempt]
@@ -430,7 +489,7 @@
 func (l *Loop) void(t timerEntry) bool {
 	switch {
 	case t.attempt != nil:
-		return t.attempt.ended
+		return t.attempt.ended || t.attempt.streams
 	case t.call != nil:
 		return t.call.ended
 	case t.request != 0:
@@ -442,6 +501,9 @@
 func (l *Loop) due(t timerEntry) {
 	switch {
 	case t.attempt != nil:
+		if l.clock.now() < t.attempt.deadline-sameMoment {
+			return // its body has come whole since, and its time runs from there
+		}
 		t.attempt.callOff()
 		l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
 	case t.call != nil:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -109,9 +109,9 @@
 	case AttemptEnd:
 		g.attemptEnd(e)
 	case Established:
-		if j := g.live(e.Request); j != nil {
-			j.streams = true
-		}
+		g.begun(e)
+	case BodyWhole:
+		g.bodyWhole(e)
 	case ClientGone:
 		if j := g.live(e.Request); j != nil {
 			g.close(j)
@@ -139,12 +139,9 @@
 	if r.Sent == 0 {
 		r.Sent = g.now
 	}
-	j := &job{Request: r, class: c}
+	j := &job{Request: r, class: c, coming: r.Streamed}
 	j.level, _ = slices.BinarySearch(g.worths, c.Worth*p.Price)
-	j.giveUp = r.Deadline - 2*g.set.Tick
-	if c.LateWorth == 0 && c.AimStretch == 0 {
-		j.giveUp = min(j.giveUp, r.Sent+c.Aim-g.elapsed(r, c))
-	}
+	j.giveUp = g.lastUse(j)
 	g.jobs[r.ID] = j
 	g.arrived[j.level]++
 	who := g.customerOf(r)
@@ -168,6 +165,15 @@
 	}
 }
 
+// lastUse is when an answer earns nothing any more.
+func (g *Gateway) lastUse(j *job) float64 {
+	at := j.Deadline - 2*g.set.Tick
+	if j.class.LateWorth == 0 && j.class.AimStretch == 0 {
+		at = min(at, j.Sent+j.class.Aim-g.elapsed(j.Request, j.class))
+	}
+	return at
+}
+
 // elapsed is the time that the client has surely spent on earlier tries. Most tries of a class and plan are
 // given the same patience; one that has another is cut to what is left of the client's whole patience.
 // Danger: a repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
@@ -196,6 +202,7 @@
 	case j == nil:
 	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
 		g.late(j, n)
+	case j.Streamed && kind == timerEnd && g.now < j.giveUp-g.set.Tick: // its time has been set anew since
 	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
 		g.giveBack(j)
 	}
@@ -339,19 +346,61 @@
 	}
 	j.attempts = append(j.attempts, attempt{on: s, sent: g.now})
 	j.out++
-	g.enter(s, j.level)
+	if j.coming {
+		// A backend begins with the last byte of a body; till then the request takes nobody's place.
+		j.giveUp = j.Deadline - 2*g.set.Tick
+		g.timer(j.giveUp-g.now, timerEnd, 0, j.ID)
+	} else {
+		g.work(&j.attempts[tries], j.level)
+	}
 	if g.warmth(s) < 1 {
 		s.budget--
 	} else {
 		g.warmSent++
 	}
 	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
-	if g.latency > 0 {
+	if g.latency > 0 && !j.coming {
 		g.timer(g.lateAfter(), timerLate, tries, j.ID)
 	}
 	return true
 }
 
+// bodyWhole starts a request's time over where its body has gone on whole.
+func (g *Gateway) bodyWhole(e BodyWhole) {
+	j := g.live(e.Request)
+	if j == nil || !j.coming || j.out == 0 {
+		return
+	}
+	n := len(j.attempts) - 1
+	j.coming, j.Sent, j.Deadline = false, g.now, e.Deadline
+	j.giveUp = g.lastUse(j)
+	j.attempts[n].sent, j.mayAt = g.now, g.now
+	g.work(&j.attempts[n], j.level)
+	g.timer(j.giveUp-g.now, timerEnd, 0, j.ID)
+	if g.latency > 0 {
+		g.timer(g.lateAfter(), timerLate, n, j.ID)
+	}
+}
+
+// begun takes the first byte of a long answer for the answer: what follows may take as long as its client
+// likes, and says nothing of the backend. Where the class itself is streamed the backend works on to the end.
+func (g *Gateway) begun(e Established) {
+	j := g.live(e.Request)
+	if j == nil || e.Attempt >= len(j.attempts) {
+		return
+	}
+	j.streams = true
+	if a := &j.attempts[e.Attempt]; !j.class.Streamed && !a.ended {
+		g.rest(a, j.level)
+		g.observe(j, a, AttemptEnd{Outcome: Served})
+		for n := range j.attempts {
+			if n != e.Attempt && !j.attempts[n].ended && g.set.CanCancel {
+				g.do(Cancel{Request: j.ID, Attempt: n})
+			}
+		}
+	}
+}
+
 func (g *Gateway) lateAfter() float64 { return g.latency + lateDevs*g.spread }
 
 // attemptEnd books the end of an attempt and decides what becomes of the request.
@@ -364,17 +413,23 @@
 	a.ended = true
 	j.out--
 	c.open--
-	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+	seen := a.counted
+	switch {
+	case !seen:
+	case e.Outcome == TimedOut || e.Outcome == Cancelled:
 		// Danger: a time-out or a cancel may stop no work. If given-up attempts left the count, each would
 		// make room for one more at a full backend. It stays the longer the more in a row the backend has
 		// let pass.
 		a.on.missed++
 		stay := min(g.latency*float64(a.on.missed), j.class.Deadline)
 		a.on.ghosts = append(a.on.ghosts, ghost{a.sent, g.now + stay, j.level})
-	} else {
-		g.leave(a.on, j.level)
+		a.counted = false // the ghost is
+	default:
+		g.rest(a, j.level)
+	}
+	if seen || !j.streams && e.Outcome == ConnectFailed {
+		g.observe(j, a, e)
 	}
-	g.observe(j, a, e)
 	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && neverRan(e.Outcome) {
 		j.mayRun = false // proved: no attempt has run
 	}
@@ -409,7 +464,7 @@
 
 // again starts a further attempt if the budget has room and time remains.
 func (g *Gateway) again(j *job) bool {
-	if g.retries < 1 || g.now+g.latency > j.giveUp || g.full(len(g.worths)-1) {
+	if j.Streamed || g.retries < 1 || g.now+g.latency > j.giveUp || g.full(len(g.worths)-1) {
 		return false
 	}
 	s := g.pick(j)
--- a/rules/state.go
+++ b/rules/state.go
@@ -52,6 +52,7 @@
 	level               int
 	giveUp              float64 // an answer after this earns nothing
 	paid, done, streams bool    // its units are taken; it is over; its answer has begun
+	coming              bool    // its body has not gone on whole yet
 	attempts            []attempt
 	out                 int
 	mayRun              bool    // an attempt may have run, or is out
@@ -63,9 +64,10 @@
 type patience struct{ last, known float64 }
 
 type attempt struct {
-	on    *server
-	sent  float64
-	ended bool
+	on      *server
+	sent    float64
+	ended   bool
+	counted bool // as work in flight
 }
 
 // ghost is an attempt that was given up and may still take up its backend.
@@ -104,6 +106,20 @@
 	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id), Request: id})
 }
 
+// work counts an attempt as work in flight until rest.
+func (g *Gateway) work(a *attempt, level int) {
+	a.counted = true
+	g.enter(a.on, level)
+}
+
+// rest ends that.
+func (g *Gateway) rest(a *attempt, level int) {
+	if a.counted {
+		a.counted = false
+		g.leave(a.on, level)
+	}
+}
+
 // leave takes an attempt out of the counts of work in flight.
 func (g *Gateway) leave(s *server, level int) {
 	s.inFlight--
--- a/rules/types.go
+++ b/rules/types.go
@@ -186,9 +186,18 @@
 	Sent      float64 // clock time at which the client sent it; 0: just now
 	Deadline  float64 // clock time at which the client stops waiting
 	Repeat    bool    // marked by the client as another try
+	Streamed  bool    // its body passes through: it can be sent once, and Deadline allows for the body till BodyWhole
 }
 
-// Established says that a streamed answer has begun.
+// BodyWhole says that the body of a Streamed request has gone on whole. Its
+// backend begins with it now, and its time counts from here.
+type BodyWhole struct {
+	Request  RequestID
+	Deadline float64 // clock time at which the client stops waiting
+}
+
+// Established says that a streamed answer has begun. In a class that is not
+// Streamed it is a long one, whose first byte counts; the backend has done its work.
 type Established struct {
 	Request RequestID
 	Attempt int
@@ -257,6 +266,7 @@
 func (Backends) event()     {}
 func (Request) event()      {}
 func (Established) event()  {}
+func (BodyWhole) event()    {}
 func (AttemptEnd) event()   {}
 func (Probed) event()       {}
 func (ClientGone) event()   {}
