Take checks in the module: units of a quota without a request

They must count in the same store as requests, with no second copy of the arithmetic.

Check, Peek and Give are events of the module, Checked is its answer. A check stands in its customer's line and is paid by the same steps as a request (admit, giveBack); one that may wait leaves the line while the store is dry, so it holds up no request of its customer. A give goes into the window it came from or nowhere. Settings.Fronts joins the division of local shares.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -78,6 +78,7 @@
 	timerEnd   // a request must be answered now
 	timerAsk   // discovery failed a while ago
 	timerLate  // an attempt takes longer than usual
+	timerLine  // a check that waits for units may ask again
 )
 
 // New starts a gateway. It keeps nothing from an earlier life.
@@ -124,6 +125,12 @@
 		g.countedLate(e)
 	case Backends:
 		g.backends(e)
+	case Check:
+		g.check(e)
+	case Peek:
+		g.peek(e)
+	case Give:
+		g.give(e)
 	case Detach:
 		g.detached[e.Backend] = true
 	case Attach:
@@ -150,12 +157,7 @@
 		g.giveBack(j)
 		return
 	}
-	at := len(who.waiting)
-	for at > 0 && who.waiting[at-1].level < j.level {
-		at--
-	}
-	who.waiting = slices.Insert(who.waiting, at, j)
-	g.admit(who)
+	g.line(j)
 	if j.done {
 		return // most refusals come at once, and timers for them would be as many as requests
 	}
@@ -165,6 +167,17 @@
 	}
 }
 
+// line puts a request in the line of its customer, highest level first, and lets in who can be.
+func (g *Gateway) line(j *job) {
+	who := j.customer
+	at := len(who.waiting)
+	for at > 0 && who.waiting[at-1].level < j.level {
+		at--
+	}
+	who.waiting = slices.Insert(who.waiting, at, j)
+	g.admit(who)
+}
+
 // lastUse is when an answer earns nothing any more.
 func (g *Gateway) lastUse(j *job) float64 {
 	at := j.Deadline - 2*g.set.Tick
@@ -200,6 +213,8 @@
 	case kind == timerAsk:
 		g.do(Subscribe{})
 	case j == nil:
+	case kind == timerLine && !j.done && j.check:
+		g.line(j)
 	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
 		g.late(j, n)
 	case j.Streamed && kind == timerEnd && g.now < j.giveUp-g.set.Tick: // its time has been set anew since
@@ -493,6 +508,10 @@
 // giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
 func (g *Gateway) giveBack(j *job) {
+	if j.check {
+		g.part(j)
+		return
+	}
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		advice := 0.0
 		if g.set.CanAdvise && j.paid {
@@ -726,7 +745,7 @@
 // allowance*(1+leaseShare) + rate*L at most, and twice the first allowance if the counter comes back empty;
 // short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate.
 func (g *Gateway) terms(p *Plan, gateways, index int) terms {
-	n := float64(max(gateways, 1))
+	n := float64(max(gateways, 1) + g.set.Fronts)
 	t := terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
 		localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), ceiling: p.CeilingRate > 0, places: p.MaxConcurrent,
 		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
@@ -783,37 +802,43 @@
 	limited := c.terms.rate > 0
 	for len(c.waiting) > 0 {
 		j := c.waiting[0]
-		if c.terms.places > 0 && !g.place(c) {
+		shared := true
+		if c.terms.places > 0 && !j.check && !g.place(c) {
 			return // a place may come free before its time is over
 		}
 		if limited {
 			g.roll(c)
 			switch {
 			case c.units >= j.Units:
-				c.units -= j.Units
-				// Danger: with a counter that answers now and then, leases and the local share would
-				// add up to more than the quota. So leases count against the share too.
-				c.takeLocal(g.now, 0)
-				c.local = max(c.local-j.Units, -c.terms.localBurst)
+				g.spend(c, j.Units)
 			case c.asking > 0:
 				return
 			case g.now < c.dryUntil:
-				g.giveBack(j)
+				if !g.later(j, c.dryUntil) {
+					g.giveBack(j)
+				}
 				continue
 			case !g.set.Counter || g.now < c.restTill:
 				if !c.takeLocal(g.now, j.Units) {
 					if g.set.Counter && c.terms.exact && c.restTill+g.latency < j.giveUp {
 						return // held: a crowded counter may have room in a moment
 					}
-					g.giveBack(j)
+					if !g.later(j, c.restTill) {
+						g.giveBack(j)
+					}
 					continue
 				}
 				c.owed += j.Units
+				shared = false
 			default:
 				g.lease(c)
 				continue
 			}
 		}
+		if j.check {
+			g.checked(j, j.Units, shared && limited)
+			continue
+		}
 		c.waiting = c.waiting[1:]
 		c.open++
 		j.paid = true
@@ -822,6 +847,14 @@
 	}
 }
 
+// spend takes leased units. Danger: with a counter that answers now and then, leases and the local share
+// would add up to more than the quota. So leases count against the share too.
+func (g *Gateway) spend(c *customer, units float64) {
+	c.units -= units
+	c.takeLocal(g.now, 0)
+	c.local = max(c.local-units, -c.terms.localBurst)
+}
+
 // place tells whether one more request of c may be let in under its plan's limit on attempts out at once.
 // Places are leased from the counter one call at a time and go back when nobody waits for them.
 func (g *Gateway) place(c *customer) bool {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -89,17 +89,19 @@
 }
 
 func TestModuleSize(t *testing.T) {
-	text, err := os.ReadFile("rules.go")
-	if err != nil {
-		t.Fatal(err)
-	}
 	lines := 0
-	for i, l := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(l) != "" {
-			lines++
-		}
-		if len(l) > 110 {
-			t.Errorf("line %d has %d characters, 110 are allowed", i+1, len(l))
+	for _, file := range []string{"rules.go", "checks.go"} {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, l := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(l) != "" {
+				lines++
+			}
+			if len(l) > 110 {
+				t.Errorf("%s, line %d has %d characters, 110 are allowed", file, i+1, len(l))
+			}
 		}
 	}
 	if lines > 1200 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -53,6 +53,7 @@
 	giveUp              float64 // an answer after this earns nothing
 	paid, done, streams bool    // its units are taken; it is over; its answer has begun
 	coming              bool    // its body has not gone on whole yet
+	check, partial      bool    // a Check: it is paid, and nothing is sent
 	attempts            []attempt
 	out                 int
 	mayRun              bool    // an attempt may have run, or is out
--- a/rules/types.go
+++ b/rules/types.go
@@ -80,10 +80,11 @@
 	Classes []Class
 	Plans   []Plan
 
-	Rank  int // this gateway's number among Fleet
-	Fleet int // gateways
-	Zone  int
-	Tick  float64 // events come at most this often
+	Rank   int // this gateway's number among Fleet
+	Fleet  int // gateways
+	Fronts int // that take checks and no requests; each may be asked for any customer
+	Zone   int
+	Tick   float64 // events come at most this often
 
 	AskDiscovery bool // changes of the list come only when asked for
 	RoughWeights bool // Backend.Weight says something about size
@@ -249,6 +250,40 @@
 	Total   float64
 }
 
+// Check asks for units of a customer's quota for something other than a request.
+// Its one answer is Checked. ID is of the same space as those of requests, and
+// ClientGone ends it with nothing spent.
+type Check struct {
+	ID        RequestID
+	Customer  CustomerID
+	Plan      int
+	Units     float64
+	FirstPeer int // as in Request
+	Gateways  int
+	Deadline  float64 // clock time until which it may wait for units
+	Partial   bool    // fewer units will do, if not all are to be had
+}
+
+// Peek asks what is known of a customer's store. Its answer is Checked.
+type Peek struct {
+	ID                  RequestID
+	Customer            CustomerID
+	Plan                int
+	FirstPeer, Gateways int
+}
+
+// Give hands back units of a Check that were not used. Its answer is Checked, with
+// what was taken back as Granted. Whoever drives the module sees to it that a
+// Check's units come back once.
+type Give struct {
+	ID                  RequestID
+	Customer            CustomerID
+	Plan                int
+	FirstPeer, Gateways int
+	Units               float64
+	Window              float64 // of the Checked that granted them
+}
+
 // Detach takes a backend out by hand: it gets nothing more until Attach, whatever
 // the list says meanwhile, and whether or not it is listed yet.
 type Detach struct{ Backend BackendID }
@@ -273,6 +308,9 @@
 func (Timer) event()        {}
 func (CounterReply) event() {}
 func (CounterLate) event()  {}
+func (Check) event()        {}
+func (Peek) event()         {}
+func (Give) event()         {}
 func (Detach) event()       {}
 func (Attach) event()       {}
 func (PeerMessage) event()  {}
@@ -302,6 +340,18 @@
 // Fail is a final answer with no promise about the effect.
 type Fail struct{ Request RequestID }
 
+// Checked answers a Check, Peek or Give.
+type Checked struct {
+	ID         RequestID
+	Granted    float64 // units
+	Remaining  float64 // units in the store as known here; infinite without a quota
+	Exact      bool    // Remaining is the shared count as last seen, not a local share
+	Shared     bool    // the units come from the shared count, not from a local share
+	RetryAfter float64 // seconds until the units may be had; 0: all were granted, or none ever will
+	ResetAfter float64 // seconds until the store is full, if nobody takes any
+	Window     float64 // for Give
+}
+
 // SetTimer asks for a Timer event. With a Request it may be left out once that
 // request is over and none of its attempts is out.
 type SetTimer struct {
@@ -332,6 +382,7 @@
 func (Cancel) action()    {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
+func (Checked) action()   {}
 func (SetTimer) action()  {}
 func (Count) action()     {}
 func (Probe) action()     {}
