--- a/internal/gateway/counter.go
+++ b/internal/counter/http.go
@@ -1,4 +1,6 @@
-package gateway
+// Package counter makes calls to the counter that all gateways share. What became of
+// a call is told with care: added, turned away, in doubt, late.
+package counter
 
 import (
 	"bufio"
@@ -15,78 +17,80 @@
 	"sync/atomic"
 	"time"
 
+	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
 
 const (
-	lanes           = 8                // streams of calls to the counter, each on a connection of its own
-	laneConns       = 4                // connections of a lane at most, those that stand still among them
-	mostCalls       = 512              // calls that wait on one lane
-	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
-	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection
-	counterIdleLook = 1 * time.Second  // between looks for idle lanes
-	mostTotal       = 64               // bytes of a total
-	mostKeep        = 60 * time.Second // the counter takes longer ones for this
-	leastKeep       = time.Millisecond
+	lanes           = 8               // streams of calls to the counter, each on a connection of its own
+	laneConns       = 4               // connections of a lane at most, those that stand still among them
+	mostCalls       = 512             // calls that wait on one lane
+	counterIdle     = 5 * time.Second // well below the 10 s after which the counter closes
+	counterStuck    = 1 * time.Second // an answer so late is given up with its connection
+	counterIdleLook = 1 * time.Second // between looks for idle lanes
+	mostTotal       = 64              // bytes of a total
 	countPath       = "/v1/count/"
 	mostCounterHead = 16 << 10 // bytes of an answer with its headers
 )
 
-// call is one addition on the counter.
-type call struct {
-	id     uint64 // the module's
-	name   uint64
-	amount float64
-	keep   time.Duration
-	sent   float64
-	rest   time.Duration // of its connection before it; 0: none
+// Call is one addition on the counter.
+type Call struct {
+	Name   uint64
+	Amount float64
+	Keep   time.Duration // a new name lives so long
+	// Report is told once what became of the call, from a goroutine of the client's: Served
+	// with the total, Full (nothing was added), ConnectFailed (nothing was), Errored (it was, the
+	// total is lost), Broken and TimedOut (it may have been).
+	Report func(k *Call, o rules.Outcome, total float64)
 
-	// The loop's own:
-	ended   bool
-	outcome rules.Outcome
-	total   float64
-
-	givenUp atomic.Bool // by the loop: not to be written any more
-	begun   atomic.Bool // its answer has begun to come
-	report  func(*call, rules.Outcome, float64)
+	rest    time.Duration // of its connection before it; 0: none
+	givenUp atomic.Bool   // not to be written any more
+	begun   atomic.Bool   // its answer has begun to come
 }
 
-// counter makes calls over a few pipelined connections. The calls for one name
+// GiveUp tells the client that nobody waits. A call that has not been written never is.
+func (k *Call) GiveUp() { k.givenUp.Store(true) }
+
+// Begun tells whether the answer has begun to come.
+func (k *Call) Begun() bool { return k.begun.Load() }
+
+// HTTP makes calls over a few pipelined connections. The calls for one name
 // keep to one lane, so they go out in order; a lane leaves a connection that
 // stands still for a new one. The counter holds 32 connections of a gateway.
-type counter struct {
+type HTTP struct {
 	address atomic.Pointer[string]
 	timeout time.Duration
-	trust   idleTrust
-	lanes   [lanes]chan *call
+	trust   sockets.Trust
+	lanes   [lanes]chan *Call
 	readers sync.WaitGroup // one for each connection
 }
 
-func newCounter(address string, timeout time.Duration) *counter {
-	c := &counter{timeout: timeout}
-	c.move(address)
+// NewHTTP calls the counter at address; one that takes longer than timeout to connect to has failed.
+func NewHTTP(address string, timeout time.Duration) *HTTP {
+	c := &HTTP{timeout: timeout}
+	c.Move(address)
 	for i := range c.lanes {
-		c.lanes[i] = make(chan *call, mostCalls)
+		c.lanes[i] = make(chan *Call, mostCalls)
 	}
 	return c
 }
 
-// move sends all further calls to another address. What is out on the old one
+// Move sends all further calls to another address. What is out on the old one
 // may still be answered there.
-func (c *counter) move(address string) { c.address.Store(&address) }
+func (c *HTTP) Move(address string) { c.address.Store(&address) }
 
-// add hands a call over without waiting. It returns false where too many wait.
-func (c *counter) add(k *call) bool {
+// Add hands a call over without waiting. It returns false where too many wait.
+func (c *HTTP) Add(k *Call) bool {
 	select {
-	case c.lanes[k.name%lanes] <- k:
+	case c.lanes[k.Name%lanes] <- k:
 		return true
 	default:
 		return false
 	}
 }
 
-// run keeps the lanes until ctx ends.
-func (c *counter) run(ctx context.Context) {
+// Run keeps the lanes until ctx ends.
+func (c *HTTP) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, calls := range c.lanes {
 		wg.Go(func() { c.lane(ctx, calls) })
@@ -96,7 +100,7 @@
 }
 
 // lane writes the calls of one channel.
-func (c *counter) lane(ctx context.Context, calls <-chan *call) {
+func (c *HTTP) lane(ctx context.Context, calls <-chan *Call) {
 	var conn *counterConn
 	var open atomic.Int64
 	defer func() {
@@ -118,7 +122,7 @@
 			}
 		case k := <-calls:
 			if k.givenUp.Load() {
-				k.report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
+				k.Report(k, rules.TimedOut, 0) // nobody waits; never written, so never added
 				continue
 			}
 			rest := time.Since(used)
@@ -133,7 +137,7 @@
 				var err error
 				if conn, err = c.dial(ctx, &open); err != nil {
 					conn = nil
-					k.report(k, rules.ConnectFailed, 0)
+					k.Report(k, rules.ConnectFailed, 0)
 					continue
 				}
 			}
@@ -151,22 +155,22 @@
 	host    string
 	dead    atomic.Bool
 	out     atomic.Int64         // calls without an answer
-	head    atomic.Pointer[call] // whose answer comes next
-	waiting chan *call           // written, in order
+	head    atomic.Pointer[Call] // whose answer comes next
+	waiting chan *Call           // written, in order
 	open    *atomic.Int64        // connections of its lane
-	trust   *idleTrust           // the counter's
+	trust   *sockets.Trust       // the counter's
 	once    sync.Once
 }
 
 // dial opens a connection and counts it in open until it has ended.
-func (c *counter) dial(ctx context.Context, open *atomic.Int64) (*counterConn, error) {
+func (c *HTTP) dial(ctx context.Context, open *atomic.Int64) (*counterConn, error) {
 	d := net.Dialer{Timeout: c.timeout, KeepAlive: -1}
 	address := *c.address.Load()
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), open: open, trust: &c.trust}
+	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *Call, mostCalls), open: open, trust: &c.trust}
 	open.Add(1)
 	c.readers.Go(func() {
 		defer open.Add(-1)
@@ -190,7 +194,7 @@
 // close an idle connection sooner than agreed, and a call written then is in doubt.
 func (c *counterConn) usable(rest time.Duration) bool {
 	return !c.dead.Load() && rest <= counterIdle &&
-		(c.out.Load() > 0 || rest < c.trust.limit(time.Now()) && alive(c.Conn))
+		(c.out.Load() > 0 || rest < c.trust.Limit(time.Now()) && sockets.Alive(c.Conn))
 }
 
 // stands tells whether the lane should leave a connection, since the call whose
@@ -207,19 +211,19 @@
 
 // call writes one call. Its answer is read only once it stands in the line;
 // where the line is full the connection is stuck.
-func (c *counterConn) call(k *call) {
+func (c *counterConn) call(k *Call) {
 	if len(c.waiting) == cap(c.waiting) {
-		k.report(k, rules.ConnectFailed, 0)
+		k.Report(k, rules.ConnectFailed, 0)
 		return
 	}
 	text := fmt.Appendf(nil, "POST %s%016x?add=%s&ttl_ms=%d HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
-		countPath, k.name, strconv.FormatFloat(k.amount, 'f', -1, 64), k.keep.Milliseconds(), c.host)
+		countPath, k.Name, strconv.FormatFloat(k.Amount, 'f', -1, 64), k.Keep.Milliseconds(), c.host)
 	c.out.Add(1)
 	c.SetWriteDeadline(time.Now().Add(counterStuck))
 	if _, err := c.Write(text); err != nil {
 		// The last byte was not written, so nothing was added.
 		c.dead.Store(true)
-		k.report(k, rules.ConnectFailed, 0)
+		k.Report(k, rules.ConnectFailed, 0)
 		return
 	}
 	c.waiting <- k
@@ -235,7 +239,7 @@
 	failed := false
 	for k := range c.waiting {
 		if failed {
-			k.report(k, rules.Broken, 0)
+			k.Report(k, rules.Broken, 0)
 			continue
 		}
 		c.head.Store(k)
@@ -243,10 +247,10 @@
 		c.SetReadDeadline(time.Now().Add(counterStuck))
 		outcome, total, err := rules.Errored, 0.0, error(nil)
 		if _, err = r.Peek(1); err != nil {
-			outcome = broken(err)
-			c.trust.note(time.Now(), k.rest, outcome == rules.Broken)
+			outcome = sockets.Ended(err)
+			c.trust.Note(time.Now(), k.rest, outcome == rules.Broken)
 		} else {
-			c.trust.note(time.Now(), k.rest, false)
+			c.trust.Note(time.Now(), k.rest, false)
 			k.begun.Store(true)
 			outcome, total, err = readTotal(r, asked)
 		}
@@ -257,7 +261,7 @@
 		}
 		c.head.Store(nil)
 		c.out.Add(-1)
-		k.report(k, outcome, total)
+		k.Report(k, outcome, total)
 	}
 }
 
@@ -276,7 +280,7 @@
 	switch {
 	case err != nil:
 		return rules.Errored, 0, err
-	case len(body) > mostTotal, !delimited(resp):
+	case len(body) > mostTotal, !sockets.Delimited(resp):
 		return rules.Errored, 0, errNoTotal
 	}
 	switch resp.StatusCode {
@@ -293,9 +297,3 @@
 	}
 	return rules.Broken, 0, fmt.Errorf("status %s", resp.Status) // which proves nothing
 }
-
-// delimited tells whether the end of a body is told by a length or by chunks.
-// Danger: one that ends with its connection looks whole when it was cut.
-func delimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
--- a/internal/gateway/counter_test.go
+++ b/internal/counter/http_test.go
@@ -1,16 +1,19 @@
-package gateway
+package counter
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"math"
-	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"linnetbend/internal/sockets"
+	"linnetbend/internal/testpeer"
 	"linnetbend/rules"
 )
 
@@ -20,37 +23,33 @@
 	total   float64
 }
 
-func startCounter(t *testing.T, address string) (c *counter, add func(amount float64) *call, replies chan reply) {
-	c = newCounter(address, patience)
+func startCounter(t *testing.T, address string) (c *HTTP, add func(amount float64) *Call, replies chan reply) {
+	c = NewHTTP(address, testpeer.Patience)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { c.run(ctx) })
+	wg.Go(func() { c.Run(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	replies = make(chan reply, 64)
-	return c, func(amount float64) *call {
-		k := &call{name: 7, amount: amount, keep: time.Minute}
-		k.report = func(k *call, o rules.Outcome, total float64) { replies <- reply{k.amount, o, total} }
-		if !c.add(k) {
+	return c, func(amount float64) *Call {
+		k := &Call{Name: 7, Amount: amount, Keep: time.Minute}
+		k.Report = func(k *Call, o rules.Outcome, total float64) { replies <- reply{k.Amount, o, total} }
+		if !c.Add(k) {
 			t.Fatal("the lane is full")
 		}
 		return k
 	}, replies
 }
 
-func total(conn net.Conn, status int, body string) {
-	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
-}
-
 func TestCounterPipeline(t *testing.T) {
-	far := newPeer(t)
-	_, add, replies := startCounter(t, far.address())
+	far := testpeer.New(t)
+	_, add, replies := startCounter(t, far.Address())
 	late := add(1)
 	add(-2.5)
 	add(3)
 	add(4)
-	conn, r := far.accept(t)
+	conn, r := far.Accept(t)
 	for i, want := range []string{"1", "-2.5", "3", "4"} {
-		req, _ := readRequest(t, r) // all before the first answer: calls are pipelined
+		req, _ := testpeer.ReadRequest(t, r) // all before the first answer: calls are pipelined
 		if uri := "/v1/count/0000000000000007?add=" + want + "&ttl_ms=60000"; req.RequestURI != uri {
 			t.Errorf("call %d: %s, want %s", i, req.RequestURI, uri)
 		}
@@ -58,33 +57,33 @@
 	// The first is given up by the loop. Its late answer keeps its place, lest each
 	// later call be told the total of the one before.
 	late.givenUp.Store(true)
-	total(conn, 200, "1")
-	total(conn, 200, "-1.5\n")
-	total(conn, 503, "")
-	total(conn, 404, "")
+	testpeer.Total(conn, 200, "1")
+	testpeer.Total(conn, 200, "-1.5\n")
+	testpeer.Total(conn, 503, "")
+	testpeer.Total(conn, 404, "")
 	for _, want := range []reply{{1, rules.Served, 1}, {-2.5, rules.Served, -1.5}, {3, rules.Full, 0}, {4, rules.ConnectFailed, 0}} {
-		if got := wait(t, replies, "reply"); got != want {
+		if got := testpeer.Wait(t, replies, "reply"); got != want {
 			t.Errorf("reply %v, want %v", got, want)
 		}
 	}
 	// A call whose answer is cut off may have been added.
 	add(5)
-	readRequest(t, r)
+	testpeer.ReadRequest(t, r)
 	conn.Close()
-	if got := wait(t, replies, "reply"); got.outcome != rules.Broken {
+	if got := testpeer.Wait(t, replies, "reply"); got.outcome != rules.Broken {
 		t.Errorf("reply after a break: %v", got)
 	}
 	// The next goes out on a new connection.
 	add(6)
-	_, r = far.accept(t)
-	readRequest(t, r)
+	_, r = far.Accept(t)
+	testpeer.ReadRequest(t, r)
 }
 
 // A spoilt answer says that the amount was added, not more: what was called
 // behind it is in doubt, and the connection is used no more.
 func TestCounterSpoilt(t *testing.T) {
-	far := newPeer(t)
-	_, add, replies := startCounter(t, far.address())
+	far := testpeer.New(t)
+	_, add, replies := startCounter(t, far.Address())
 	for _, c := range []struct {
 		answer  string
 		outcome rules.Outcome
@@ -101,24 +100,24 @@
 		{"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n12", rules.Broken},
 	} {
 		add(1)
-		conn, r := far.accept(t)
-		readRequest(t, r)
+		conn, r := far.Accept(t)
+		testpeer.ReadRequest(t, r)
 		add(2)
-		readRequest(t, r) // written behind it
+		testpeer.ReadRequest(t, r) // written behind it
 		fmt.Fprint(conn, c.answer, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n8")
-		if got := wait(t, replies, "reply"); got != (reply{1, c.outcome, 0}) {
+		if got := testpeer.Wait(t, replies, "reply"); got != (reply{1, c.outcome, 0}) {
 			t.Errorf("%.60q: reply %v", c.answer, got)
 		}
-		if got := wait(t, replies, "reply"); got != (reply{2, rules.Broken, 0}) {
+		if got := testpeer.Wait(t, replies, "reply"); got != (reply{2, rules.Broken, 0}) {
 			t.Errorf("%.60q: reply to the call behind it %v", c.answer, got)
 		}
 	}
 	add(3)
-	conn, r := far.accept(t)
-	readRequest(t, r)
+	conn, r := far.Accept(t)
+	testpeer.ReadRequest(t, r)
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n12") // and no end but the connection's
 	conn.Close()
-	if got := wait(t, replies, "reply"); got.outcome != rules.Errored {
+	if got := testpeer.Wait(t, replies, "reply"); got.outcome != rules.Errored {
 		t.Errorf("reply with no length: %v", got)
 	}
 }
@@ -126,21 +125,21 @@
 // An answer without an end holds up what was called behind it on its connection
 // and no more: the next call gets a connection of its own.
 func TestCounterStandsStill(t *testing.T) {
-	far := newPeer(t)
-	_, add, replies := startCounter(t, far.address())
+	far := testpeer.New(t)
+	_, add, replies := startCounter(t, far.Address())
 	stuck := add(1)
-	conn, r := far.accept(t)
-	readRequest(t, r)
+	conn, r := far.Accept(t)
+	testpeer.ReadRequest(t, r)
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX: ")
-	for until := time.Now().Add(patience); !stuck.begun.Load() && time.Now().Before(until); {
+	for until := time.Now().Add(testpeer.Patience); !stuck.begun.Load() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond) // the answer's beginning is on its way
 	}
 	stuck.givenUp.Store(true)
 	add(2)
-	conn, r = far.accept(t)
-	readRequest(t, r)
-	total(conn, 200, "3")
-	for got := wait(t, replies, "reply"); got != (reply{2, rules.Served, 3}); got = wait(t, replies, "reply") {
+	conn, r = far.Accept(t)
+	testpeer.ReadRequest(t, r)
+	testpeer.Total(conn, 200, "3")
+	for got := testpeer.Wait(t, replies, "reply"); got != (reply{2, rules.Served, 3}); got = testpeer.Wait(t, replies, "reply") {
 		if got.amount != 1 { // the stuck connection ends some day, and its call with it
 			t.Fatalf("reply on the new connection: %v", got)
 		}
@@ -150,8 +149,8 @@
 // A counter that is slow for all must not be given connections without end: at
 // the bound, calls go out on the last one.
 func TestCounterConnectionsBounded(t *testing.T) {
-	far := newPeer(t)
-	c := newCounter(far.address(), patience)
+	far := testpeer.New(t)
+	c := NewHTTP(far.Address(), testpeer.Patience)
 	var open atomic.Int64
 	open.Store(laneConns - 1) // stand still already
 	conn, err := c.dial(context.Background(), &open)
@@ -159,7 +158,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	overdue := &call{}
+	overdue := &Call{}
 	overdue.givenUp.Store(true)
 	conn.head.Store(overdue)
 	if conn.stands() {
@@ -179,34 +178,34 @@
 
 // Nothing was written, so nothing was added: the module may count on it.
 func TestCounterAway(t *testing.T) {
-	far := newPeer(t)
-	far.listener.Close()
-	_, add, replies := startCounter(t, far.address())
+	far := testpeer.New(t)
+	far.Listener.Close()
+	_, add, replies := startCounter(t, far.Address())
 	add(1)
-	if got := wait(t, replies, "reply"); got.outcome != rules.ConnectFailed {
+	if got := testpeer.Wait(t, replies, "reply"); got.outcome != rules.ConnectFailed {
 		t.Errorf("reply %v", got)
 	}
 }
 
 // A call that was given up before it was written must not be added later.
 func TestCounterGivenUpUnwritten(t *testing.T) {
-	far := newPeer(t)
-	c := newCounter(far.address(), patience)
+	far := testpeer.New(t)
+	c := NewHTTP(far.Address(), testpeer.Patience)
 	reported := make(chan rules.Outcome, 2)
-	report := func(_ *call, o rules.Outcome, _ float64) { reported <- o }
-	k := &call{name: 1, amount: 1, keep: time.Minute, report: report}
+	report := func(_ *Call, o rules.Outcome, _ float64) { reported <- o }
+	k := &Call{Name: 1, Amount: 1, Keep: time.Minute, Report: report}
 	k.givenUp.Store(true)
-	next := &call{name: 1, amount: 2, keep: time.Minute, report: report}
-	c.add(k)
-	c.add(next)
+	next := &Call{Name: 1, Amount: 2, Keep: time.Minute, Report: report}
+	c.Add(k)
+	c.Add(next)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go c.run(ctx)
-	_, r := far.accept(t)
-	if req, _ := readRequest(t, r); req.URL.Query().Get("add") != "2" {
+	go c.Run(ctx)
+	_, r := far.Accept(t)
+	if req, _ := testpeer.ReadRequest(t, r); req.URL.Query().Get("add") != "2" {
 		t.Errorf("written: %s", req.RequestURI)
 	}
-	if got := wait(t, reported, "report"); got != rules.TimedOut {
+	if got := testpeer.Wait(t, reported, "report"); got != rules.TimedOut {
 		t.Errorf("outcome %d", got)
 	}
 }
@@ -214,39 +213,39 @@
 // Something on the way to the counter forgets connections that rest: once that
 // has shown, a call goes out on a new one and is not in doubt.
 func TestCounterForgotten(t *testing.T) {
-	far := newPeer(t)
-	c, add, replies := startCounter(t, far.address())
-	for range 2 * int(idleBroken) {
-		c.trust.note(time.Now(), 2*idleLeast, true)
+	far := testpeer.New(t)
+	c, add, replies := startCounter(t, far.Address())
+	for range 2 * int(sockets.IdleBroken) {
+		c.trust.Note(time.Now(), 2*sockets.IdleLeast, true)
 	}
 	for range 2 {
 		add(1)
-		conn, r := far.accept(t)
-		readRequest(t, r)
-		total(conn, 200, "1")
-		wait(t, replies, "reply")
-		time.Sleep(10 * idleLeast) // the rest itself is what is tested
+		conn, r := far.Accept(t)
+		testpeer.ReadRequest(t, r)
+		testpeer.Total(conn, 200, "1")
+		testpeer.Wait(t, replies, "reply")
+		time.Sleep(10 * sockets.IdleLeast) // the rest itself is what is tested
 	}
 }
 
 // A call that breaks on a connection that rested tells of it.
 func TestCounterLearnsOfForgotten(t *testing.T) {
-	far := newPeer(t)
-	c, add, replies := startCounter(t, far.address())
-	for round := 0; c.trust.limit(time.Now()) == math.MaxInt64; round++ {
+	far := testpeer.New(t)
+	c, add, replies := startCounter(t, far.Address())
+	for round := 0; c.trust.Limit(time.Now()) == math.MaxInt64; round++ {
 		if round == 20 {
 			t.Fatal("nothing was learnt")
 		}
 		add(1)
-		conn, r := far.accept(t)
-		readRequest(t, r)
-		total(conn, 200, "1")
-		wait(t, replies, "reply")
-		time.Sleep(2 * idleLeast)
+		conn, r := far.Accept(t)
+		testpeer.ReadRequest(t, r)
+		testpeer.Total(conn, 200, "1")
+		testpeer.Wait(t, replies, "reply")
+		time.Sleep(2 * sockets.IdleLeast)
 		add(2)
-		readRequest(t, r)
+		testpeer.ReadRequest(t, r)
 		conn.Close()
-		if got := wait(t, replies, "reply"); got.outcome != rules.Broken {
+		if got := testpeer.Wait(t, replies, "reply"); got.outcome != rules.Broken {
 			t.Fatalf("reply %v", got)
 		}
 	}
@@ -255,15 +254,15 @@
 // The counter may close an idle connection; a call written to it would be in
 // doubt.
 func TestCounterClosedIdle(t *testing.T) {
-	far := newPeer(t)
-	c := newCounter(far.address(), patience)
+	far := testpeer.New(t)
+	c := NewHTTP(far.Address(), testpeer.Patience)
 	var open atomic.Int64
 	conn, err := c.dial(context.Background(), &open)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	other, _ := far.accept(t)
+	other, _ := far.Accept(t)
 	conn.SetDeadline(time.Now().Add(-time.Second)) // of an earlier call
 	if !conn.usable(0) {
 		t.Error("a connection in good health is not usable")
@@ -272,11 +271,30 @@
 		t.Error("usable after the idle limit")
 	}
 	other.Close()
-	until := time.Now().Add(patience)
-	for alive(conn.Conn) && time.Now().Before(until) {
+	until := time.Now().Add(testpeer.Patience)
+	for sockets.Alive(conn.Conn) && time.Now().Before(until) {
 		time.Sleep(time.Millisecond) // the end of the connection is on its way through the kernel
 	}
 	if conn.usable(0) {
 		t.Error("usable after the counter closed it")
 	}
 }
+
+// Whatever a counter answers, a total that is told is a number, and only a
+// whole answer tells one.
+func FuzzReadTotal(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nNaN",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n0\r\n\r\n",
+		"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "noise", "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		o, total, err := readTotal(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodPost})
+		if math.IsNaN(total) || math.IsInf(total, 0) || o == rules.Served && err != nil || total != 0 && o != rules.Served {
+			t.Errorf("outcome %d, total %v, %v", o, total, err)
+		}
+	})
+}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -9,14 +9,13 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"slices"
 	"sort"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
+	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
 
@@ -44,6 +43,7 @@
 // mu guards.
 type attempt struct {
 	x        *exchange
+	loop     *Loop
 	number   int
 	backend  rules.BackendID
 	sent     float64
@@ -105,29 +105,6 @@
 	rest time.Duration // before the present use; 0: it is new
 }
 
-// alive looks, without waiting, whether an idle connection still stands and has
-// nothing to say. Danger: what is written to one that the other side has closed
-// ends as a reset, which is no proof that it had no effect.
-func alive(conn net.Conn) bool {
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	// Control and not Read, which would fail for a time-out that passed since the
-	// last use, and would wait for a reader.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
-
 // target is one life of a backend at one address. All of its connections end
 // with it.
 type target struct {
@@ -145,7 +122,7 @@
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
-	trust          idleTrust
+	trust          sockets.Trust
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
@@ -298,7 +275,7 @@
 		return nil, errNoConn
 	}
 	now := time.Now()
-	idleLimit := min(p.idleLimit, p.trust.limit(now))
+	idleLimit := min(p.idleLimit, p.trust.Limit(now))
 	n := len(t.idle)
 	if p.open < p.mostOpen {
 		// Danger: more than belonged to the last answer may be on its way, and would be read as the next.
@@ -308,7 +285,7 @@
 		c := t.idle[n]
 		age := now.Sub(c.idle)
 		t.idle = slices.Delete(t.idle, n, n+1)
-		if age < idleLimit && alive(c.Conn) {
+		if age < idleLimit && sockets.Alive(c.Conn) {
 			c.idle, c.rest = time.Time{}, age
 			p.mu.Unlock()
 			return c, nil
@@ -393,7 +370,7 @@
 	}
 	ours := a.release()
 	if forgotten := res.outcome == rules.Broken && c.left.N == mostAnswer; ours && c.rest > 0 {
-		p.trust.note(time.Now(), c.rest, forgotten)
+		p.trust.Note(time.Now(), c.rest, forgotten)
 	}
 	if ours && reuse {
 		p.put(c)
@@ -455,12 +432,12 @@
 	for range mostInterim {
 		resp, err := http.ReadResponse(c.r, asked)
 		if err != nil {
-			return result{outcome: broken(err)}, false
+			return result{outcome: sockets.Ended(err)}, false
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if !delimited(resp) {
+		if !sockets.Delimited(resp) {
 			return result{outcome: rules.Broken}, false
 		}
 		if resp.ContentLength > mostBulk {
@@ -471,7 +448,7 @@
 		}
 		body, all, err := c.short(resp)
 		if err != nil {
-			return result{outcome: broken(err)}, false
+			return result{outcome: sockets.Ended(err)}, false
 		}
 		if !all {
 			if resp.StatusCode != http.StatusOK {
@@ -494,14 +471,6 @@
 	return result{outcome: rules.Errored}, false
 }
 
-// broken tells a time-out from a connection that ended.
-func broken(err error) rules.Outcome {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return rules.TimedOut
-	}
-	return rules.Broken
-}
-
 // short reads a body whole if it is short, and tells whether it is. Danger: a
 // length is a claim; memory for a long one is taken only as the bytes come. One of
 // unknown length that comes slowly passes through early: its first bytes may be
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -12,71 +11,24 @@
 	"testing"
 	"time"
 
+	"linnetbend/internal/sockets"
+	"linnetbend/internal/testpeer"
 	"linnetbend/rules"
 )
 
-// patience bounds every wait of a test; none is expected to last so long.
-const patience = 20 * time.Second
+const patience = testpeer.Patience
 
-// peer is the other side of connections: it hands each one on, and closes what
-// is left at the end of the test.
-type peer struct {
-	listener net.Listener
-	conns    chan net.Conn
-}
-
-func newPeer(t *testing.T) *peer {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &peer{listener: l, conns: make(chan net.Conn, 64)}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			p.conns <- c
-		}
-	}()
-	return p
-}
-
-func (p *peer) address() string { return p.listener.Addr().String() }
+type peer = testpeer.Peer
 
-func (p *peer) accept(t *testing.T) (net.Conn, *bufio.Reader) {
-	t.Helper()
-	c := wait(t, p.conns, "a connection")
-	c.SetDeadline(time.Now().Add(patience))
-	return c, bufio.NewReader(c)
-}
+var (
+	newPeer     = testpeer.New
+	readRequest = testpeer.ReadRequest
+	total       = testpeer.Total
+)
 
 func wait[T any](t *testing.T, ch <-chan T, what string) T {
 	t.Helper()
-	select {
-	case v := <-ch:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("no %s came", what)
-		panic("unreachable")
-	}
-}
-
-func readRequest(t *testing.T, r *bufio.Reader) (*http.Request, []byte) {
-	t.Helper()
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return req, body
+	return testpeer.Wait(t, ch, what)
 }
 
 func newAttempt(timeout time.Duration) *attempt {
@@ -133,9 +85,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			backend := newPeer(t)
-			p := poolFor(t, backend.address())
+			p := poolFor(t, backend.Address())
 			done := start(p, newAttempt(patience))
-			conn, r := backend.accept(t)
+			conn, r := backend.Accept(t)
 			readRequest(t, r)
 			go func() {
 				io.WriteString(conn, c.reply)
@@ -158,12 +110,12 @@
 
 func TestRequestUnchanged(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	a := newAttempt(patience)
 	a.x.header[keyHeader] = []string{"key-1"}
 	a.x.body = bytes.Repeat([]byte{0, 255, '\r', '\n'}, inlineBody/4)
 	done := start(p, a)
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	req, body := readRequest(t, r)
 	if req.Method != "POST" || req.RequestURI != a.x.uri || req.Host != "origin.svc" || !bytes.Equal(body, a.x.body) ||
 		req.Header.Get(idHeader) != "id-1" || req.Header.Get(keyHeader) != "key-1" || req.Header.Get(leftHeader) == "" {
@@ -175,8 +127,8 @@
 
 func TestNeverConnected(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
-	backend.listener.Close()
+	p := poolFor(t, backend.Address())
+	backend.Listener.Close()
 	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
 		t.Errorf("refused: outcome %d", got.outcome)
 	}
@@ -190,12 +142,12 @@
 // the wait, and the connection with it.
 func TestSilentBackend(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	got := p.attempt(newAttempt(50 * time.Millisecond))
 	if got.outcome != rules.TimedOut || p.open != 0 {
 		t.Errorf("outcome %d, %d open", got.outcome, p.open)
 	}
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the connection of a given-up attempt: %v", err)
@@ -206,12 +158,12 @@
 // may leave for it: neither by a dial that comes up later, nor on a connection.
 func TestCalledOff(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	a := newAttempt(patience)
 	a.callOff()
 	a.ctx = context.Background() // as if the dial had come up all the same
 	p.attempt(a)
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Errorf("sent after the call-off: %v", err)
 	}
@@ -219,7 +171,7 @@
 
 	a = newAttempt(patience)
 	done := start(p, a)
-	_, r = backend.accept(t)
+	_, r = backend.Accept(t)
 	readRequest(t, r)
 	a.callOff()
 	if _, err := r.ReadByte(); err != io.EOF {
@@ -235,19 +187,19 @@
 // a reset and could not be sent again; so the socket is looked at first.
 func TestClosedIdleConnection(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	done := start(p, newAttempt(patience))
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	wait(t, done, "result")
 	conn.Close()
 	until := time.Now().Add(patience)
-	for idle := p.targets[1].idle[0]; alive(idle.Conn) && time.Now().Before(until); {
+	for idle := p.targets[1].idle[0]; sockets.Alive(idle.Conn) && time.Now().Before(until); {
 		time.Sleep(time.Millisecond) // the end of the connection is on its way through the kernel
 	}
 	done = start(p, newAttempt(patience))
-	conn, r = backend.accept(t)
+	conn, r = backend.Accept(t)
 	readRequest(t, r)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	if got := wait(t, done, "result"); got.outcome != rules.Served {
@@ -259,18 +211,18 @@
 // anew; a request written there is lost or in doubt.
 func TestNewLife(t *testing.T) {
 	backend, moved := newPeer(t), newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	out := start(p, newAttempt(patience))
-	_, r := backend.accept(t)
+	_, r := backend.Accept(t)
 	readRequest(t, r)
-	p.update(1, backend.address(), 5)
+	p.update(1, backend.Address(), 5)
 	if got := wait(t, out, "result"); got.outcome != rules.Broken {
 		t.Errorf("out at the old life: outcome %d", got.outcome)
 	}
-	for n, address := range []string{backend.address(), moved.address()} {
+	for n, address := range []string{backend.Address(), moved.Address()} {
 		p.update(1, address, 5)
 		done := start(p, newAttempt(patience))
-		conn, r := []*peer{backend, moved}[n].accept(t)
+		conn, r := []*peer{backend, moved}[n].Accept(t)
 		readRequest(t, r)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		if got := wait(t, done, "result"); got.outcome != rules.Served || p.open != 1 {
@@ -283,9 +235,9 @@
 // request may be sent there meanwhile, lest the copy be taken for its answer.
 func TestLateCopy(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	done := start(p, newAttempt(patience))
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
 	wait(t, done, "result")
@@ -293,7 +245,7 @@
 	p.targets[1].idle[0].idle = time.Now().Add(settleTime) // so that the next surely comes within it
 	p.mu.Unlock()
 	done = start(p, newAttempt(patience))
-	other, r := backend.accept(t)
+	other, r := backend.Accept(t)
 	readRequest(t, r)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
 	io.WriteString(other, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
@@ -305,9 +257,9 @@
 // A draining backend gets nothing new, but what it has it may finish.
 func TestDrain(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	out := start(p, newAttempt(patience))
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	p.remove(1)
 	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
@@ -323,9 +275,9 @@
 // costs its backend work.
 func TestReuseAfterOldDeadline(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	done := start(p, newAttempt(patience))
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	for i := range 2 {
 		readRequest(t, r)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -338,17 +290,17 @@
 			done = start(p, newAttempt(patience))
 		}
 	}
-	if len(backend.conns) != 0 || p.open != 1 {
-		t.Errorf("%d more connections, %d open", len(backend.conns), p.open)
+	if len(backend.Conns) != 0 || p.open != 1 {
+		t.Errorf("%d more connections, %d open", len(backend.Conns), p.open)
 	}
 }
 
 func TestIdleLimitAndMostOpen(t *testing.T) {
 	backend := newPeer(t)
-	p := poolFor(t, backend.address())
+	p := poolFor(t, backend.Address())
 	p.mostOpen = 1
 	first := start(p, newAttempt(patience))
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	if got := p.attempt(newAttempt(patience)); got.outcome != rules.ConnectFailed {
 		t.Errorf("past the most connections: outcome %d", got.outcome)
@@ -357,11 +309,11 @@
 	wait(t, first, "result")
 	// An idle connection elsewhere gives way to one that is needed.
 	other := newPeer(t)
-	p.update(2, other.address(), 0)
+	p.update(2, other.Address(), 0)
 	a := newAttempt(patience)
 	a.backend = 2
 	first = start(p, a)
-	conn, r = other.accept(t)
+	conn, r = other.Accept(t)
 	readRequest(t, r)
 	if len(p.targets[1].idle) != 0 || p.open != 1 {
 		t.Errorf("%d idle, %d open", len(p.targets[1].idle), p.open)
--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -76,7 +76,7 @@
 			}
 		}()
 		if conn == nil {
-			conn, br = backend.accept(t)
+			conn, br = backend.Accept(t)
 		}
 		req, got := readRequest(t, br)
 		if !bytes.Equal(got, up) || len(req.TransferEncoding) > 0 != c.up {
@@ -108,7 +108,7 @@
 		}
 		time.Sleep(2 * settleTime)
 	}
-	if n := len(backend.conns); n > 0 {
+	if n := len(backend.Conns); n > 0 {
 		t.Errorf("%d more connections to the backend", n)
 	}
 }
@@ -134,7 +134,7 @@
 		client.(*net.TCPConn).SetReadBuffer(64 << 10)
 		client.SetDeadline(time.Now().Add(3 * patience))
 		io.WriteString(client, ask("GET", "lookup", ""))
-		conn, br := backend.accept(t)
+		conn, br := backend.Accept(t)
 		conn.SetDeadline(time.Now().Add(3 * patience))
 		readRequest(t, br)
 		go func() {
@@ -172,7 +172,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	_, answers := r.client(t, ask("POST", "payment", "", "Content-Length", "200000")+strings.Repeat("x", 150000))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	req, err := http.ReadRequest(br)
 	if err != nil {
 		t.Fatal(err)
@@ -184,7 +184,7 @@
 	if resp := wait(t, answers, "answer"); resp.StatusCode < 400 || !resp.Close {
 		t.Errorf("status %d, closed %t", resp.StatusCode, resp.Close)
 	}
-	if n := len(backend.conns); n > 0 {
+	if n := len(backend.Conns); n > 0 {
 		t.Errorf("%d more connections", n)
 	}
 }
@@ -196,7 +196,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	client, answers := r.client(t, ask("POST", "payment", "", "Content-Length", "4000000")+strings.Repeat("x", 100000))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	if _, err := http.ReadRequest(br); err != nil {
 		t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || !resp.Close {
 		t.Errorf("status %d, closed %t", resp.StatusCode, resp.Close)
 	}
-	if n := len(backend.conns); n > 0 {
+	if n := len(backend.Conns); n > 0 {
 		t.Errorf("%d more connections", n)
 	}
 }
@@ -223,7 +223,7 @@
 			time.Sleep(150 * time.Millisecond)
 			io.WriteString(client, strings.Repeat("x", 1000))
 		}
-		conn, br := backend.accept(t)
+		conn, br := backend.Accept(t)
 		readRequest(t, br)
 		status := 502 // silent: it may have run
 		if answered {
@@ -244,7 +244,7 @@
 		backend := newPeer(t)
 		r := newRig(t, backend)
 		client, answers := r.client(t, ask("GET", "lookup", ""))
-		conn, br := backend.accept(t)
+		conn, br := backend.Accept(t)
 		readRequest(t, br)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+strings.Repeat("x", 100000))
 		conn.Close()
@@ -255,7 +255,7 @@
 		client.Close()
 
 		_, answers = r.client(t, ask("GET", "lookup", ""))
-		conn, br = backend.accept(t)
+		conn, br = backend.Accept(t)
 		readRequest(t, br)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel")
 		conn.Close()
@@ -272,7 +272,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	client, answers := r.client(t, ask("GET", "lookup", ""))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	readRequest(t, br)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n"+strings.Repeat("x", 1000))
 	wait(t, answers, "answer")
@@ -293,7 +293,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	_, answers := r.client(t, ask("GET", "lookup", "", "path", "http://origin.svc/lookup/a%2Fb?c=%20d"))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	req, _ := readRequest(t, br)
 	if req.RequestURI != "/lookup/a%2Fb?c=%20d" {
 		t.Errorf("the backend was asked for %q", req.RequestURI)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"linnetbend/internal/sockets"
 )
 
 const (
@@ -83,7 +85,7 @@
 			break // all others have been quiet for less
 		}
 		// Danger: a request may just have arrived that the server has not read.
-		if alive(q.Conn) {
+		if sockets.Alive(q.Conn) {
 			q.Close()
 			c.forget(q.Conn)
 			gone++
@@ -137,7 +139,7 @@
 		if now.Sub(q.since) < age {
 			return
 		}
-		if alive(q.Conn) {
+		if sockets.Alive(q.Conn) {
 			q.Close()
 			c.forget(q.Conn)
 		}
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
 
@@ -52,7 +53,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	_, held := r.client(t, ask("GET", "lookup", ""))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	readRequest(t, br)
 	whole := ask("POST", "booking", "pickup")
 	for _, text := range []string{whole[:10], whole[:len(whole)-1]} {
@@ -76,11 +77,11 @@
 	p := newPeer(t)
 	c := newClients(nil, 0)
 	pair := func(s http.ConnState, age time.Duration) (near, far net.Conn) {
-		far, err := net.Dial("tcp", p.address())
+		far, err := net.Dial("tcp", p.Address())
 		if err != nil {
 			t.Fatal(err)
 		}
-		near, _ = p.accept(t)
+		near, _ = p.Accept(t)
 		t.Cleanup(func() { far.Close(); near.Close() })
 		c.state(near, http.StateNew)
 		if c.state(near, s); c.conns[near] != nil {
@@ -92,7 +93,7 @@
 	}
 	arrived, far := pair(http.StateNew, time.Hour)
 	io.WriteString(far, "G")
-	for end := time.Now().Add(patience); alive(arrived) && time.Now().Before(end); {
+	for end := time.Now().Add(patience); sockets.Alive(arrived) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond) // the byte is on its way through the kernel
 	}
 	idle, _ := pair(http.StateIdle, time.Hour)
--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"linnetbend/internal/site"
 )
@@ -67,15 +66,6 @@
 	}
 }
 
-// The windows of leases are cut from the clock, so gateways must agree on it.
-func TestClock(t *testing.T) {
-	c := newClock()
-	at := c.now()
-	if d := time.Since(c.at(at)); d < 0 || d > patience || time.Since(time.Unix(int64(at), 0)) > patience {
-		t.Errorf("now is %f, %v ago", at, d)
-	}
-}
-
 // Where memory is short it bounds the clients' connections before descriptors
 // do, but leaves room for the third of these that requests may take.
 func TestMostClients(t *testing.T) {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -42,12 +42,12 @@
 	return r
 }
 
-func (r *registry) address() string { return r.Listener.Addr().String() }
+func (r *registry) Address() string { return r.Listener.Addr().String() }
 
 func TestWatch(t *testing.T) {
 	r := newRegistry(t)
 	heard := make(chan Listing, 64)
-	w := newWatcher(r.address(), func(l Listing) { heard <- l })
+	w := newWatcher(r.Address(), func(l Listing) { heard <- l })
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { w.run(ctx) })
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -118,7 +118,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	if !f.loop.post(arrival{x}) {
+	if !f.loop.Post(arrival{f.loop, x}) {
 		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		return
 	}
@@ -135,13 +135,13 @@
 			panic(http.ErrAbortHandler) // the client must see that it is not whole
 		}
 	case <-r.Context().Done():
-		f.loop.post(clientGone{x})
+		f.loop.Post(clientGone{f.loop, x})
 		if x.upload != nil && !x.upload.stop() {
 			// Its body came to no end; the connection may still stand.
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the body did not come in time", http.StatusRequestTimeout)
 		}
-	case <-f.loop.stopped:
+	case <-f.loop.Stopped():
 		if x.upload != nil {
 			x.upload.stop()
 		}
@@ -151,7 +151,7 @@
 
 // read takes a request in, whole, or says with which status it is turned down.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*exchange, int, error) {
-	now := f.loop.clock.now()
+	now := f.loop.Clock.Now()
 	switch {
 	case !r.ProtoAtLeast(1, 1):
 		// Its framing is that of another time; net/http drops a Transfer-Encoding there unseen.
@@ -196,7 +196,7 @@
 			up.prefix, x.body = x.body, nil
 			x.upload, x.ask.Streamed = up, true
 		}
-		now = f.loop.clock.now() // a request's time counts from its last byte
+		now = f.loop.Clock.Now() // a request's time counts from its last byte
 	} else {
 		// Danger: the time-out for reading the request would end the watch.
 		http.NewResponseController(w).SetReadDeadline(time.Time{})
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -13,25 +11,6 @@
 	"linnetbend/rules"
 )
 
-// Whatever a counter answers, a total that is told is a number, and only a
-// whole answer tells one.
-func FuzzReadTotal(f *testing.F) {
-	for _, seed := range []string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5",
-		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nNaN",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n0\r\n\r\n",
-		"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "noise", "",
-	} {
-		f.Add(seed)
-	}
-	f.Fuzz(func(t *testing.T, text string) {
-		o, total, err := readTotal(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodPost})
-		if math.IsNaN(total) || math.IsInf(total, 0) || o == rules.Served && err != nil || total != 0 && o != rules.Served {
-			t.Errorf("outcome %d, total %v, %v", o, total, err)
-		}
-	})
-}
-
 // Whatever stands in the terms, what is taken is in range.
 func FuzzTerms(f *testing.F) {
 	for _, seed := range []string{"units=2,spread=2,first=1", "units=NaN,spread=1,first=0", "units=1,units=2,spread=1",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"linnetbend/internal/counter"
+	"linnetbend/internal/owner"
 	"linnetbend/rules"
 )
 
@@ -77,14 +79,16 @@
 func serve(ctx context.Context, c *Config, listener, desk net.Listener, reload Reload) error {
 	most := c.mostClients()
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
-	var calls *counter
+	var calls *counter.HTTP
+	var shared owner.Counter // nil without one
 	if c.Settings.Counter {
-		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
+		calls = counter.NewHTTP(c.Counter, seconds(c.CounterTimeout))
+		shared = calls
 	}
 	front := &frontend{deploy: &c.Deployment}
 	listed := make(chan struct{})
 	gotList := sync.OnceFunc(func() { front.ready.Store(true); close(listed) })
-	front.loop = newLoop(c, pools, calls, gotList)
+	front.loop = newLoop(c, pools, shared, gotList)
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -99,13 +103,13 @@
 			listener.Close()
 			return err
 		}
-		front.loop.take(outByHand{out})
+		outByHand{front.loop, out}.Take()
 	}
 	front.loop.list(c.Known, rules.CachedList)
-	wg.Go(func() { front.loop.run(inner) })
+	wg.Go(func() { front.loop.Run(inner) })
 	wg.Go(func() { pools.sweep(inner) })
 	if calls != nil {
-		wg.Go(func() { calls.run(inner) })
+		wg.Go(func() { calls.Run(inner) })
 	}
 	watch := func(address string) (end func()) {
 		ctx, cancel := context.WithCancel(inner)
@@ -158,7 +162,7 @@
 				continue
 			}
 			if calls != nil && next.Settings.Counter {
-				calls.move(next.Counter)
+				calls.Move(next.Counter)
 			}
 			if next.Discovery != discovery {
 				// Danger: a version of the old address may mean nothing to the new one. The new
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
 	r := &rig{registry: newRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
-	config := change(configText(r.registry.address(), testSettings))
+	config := change(configText(r.registry.Address(), testSettings))
 	c, err := ParseConfig([]byte(config))
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +76,7 @@
 func listing(reset bool, lifecycle string, backends ...*peer) Listing {
 	l := Listing{Generation: 1, Reset: reset}
 	for _, b := range backends {
-		l.Instances = append(l.Instances, Instance{ID: b.address(), HostPort: b.address(), Zone: "a", MachineType: "m",
+		l.Instances = append(l.Instances, Instance{ID: b.Address(), HostPort: b.Address(), Zone: "a", MachineType: "m",
 			Lifecycle: lifecycle, Weight: 1})
 	}
 	return l
@@ -147,7 +147,7 @@
 
 func serveOne(t *testing.T, backend *peer, body string) {
 	t.Helper()
-	conn, r := backend.accept(t)
+	conn, r := backend.Accept(t)
 	readRequest(t, r)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nX-Backend-Load: {}\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
@@ -225,7 +225,7 @@
 	if rest, err := io.ReadAll(conn); isTimeout(err) {
 		t.Errorf("the connection stays: %q", rest)
 	}
-	if n := len(backend.conns); n > 0 {
+	if n := len(backend.Conns); n > 0 {
 		t.Errorf("%d connections to the backend", n)
 	}
 }
@@ -237,14 +237,14 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	_, first := r.client(t, ask("POST", "booking", "mine", idHeader, "one"))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	readRequest(t, br)
 	for range 2 {
 		_, second := r.client(t, ask("GET", "lookup", "", idHeader, "one"))
 		if resp := wait(t, second, "answer to the second"); resp.StatusCode != 409 {
 			t.Errorf("the second: status %d", resp.StatusCode)
 		}
-		if len(backend.conns) > 0 {
+		if len(backend.Conns) > 0 {
 			t.Error("the second went to the backend")
 		}
 		if conn != nil {
@@ -265,7 +265,7 @@
 		backend := newPeer(t)
 		r := newRig(t, backend)
 		_, answers := r.client(t, ask("POST", class, "x"))
-		conn, br := backend.accept(t)
+		conn, br := backend.Accept(t)
 		readRequest(t, br)
 		conn.Close()
 		if status == 200 {
@@ -274,7 +274,7 @@
 		if resp := wait(t, answers, "answer"); resp.StatusCode != status {
 			t.Errorf("%s: status %d, want %d", class, resp.StatusCode, status)
 		}
-		if n := len(backend.conns); n > 0 {
+		if n := len(backend.Conns); n > 0 {
 			t.Errorf("%s: %d more connections", class, n)
 		}
 	}
@@ -287,7 +287,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	conn, answers := r.client(t, ask("GET", "glance", ""))
-	_, br := backend.accept(t)
+	_, br := backend.Accept(t)
 	readRequest(t, br)
 	resp := wait(t, answers, "answer")
 	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "0.5" {
@@ -313,11 +313,11 @@
 func TestSilentCounter(t *testing.T) {
 	t.Parallel()
 	backend, counter := newPeer(t), newPeer(t)
-	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.Address()+`"`,
 		`"pays": 1}`, `"pays": 1, "unitsPerS": 5, "depth": 20}`,
 		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 1`).Replace, backend)
 	_, answers := r.client(t, ask("GET", "lookup", ""))
-	_, calls := counter.accept(t)
+	_, calls := counter.Accept(t)
 	readRequest(t, calls)
 	serveOne(t, backend, "ok")
 	if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
@@ -330,14 +330,14 @@
 func TestCounterAnswerWithoutEnd(t *testing.T) {
 	t.Parallel()
 	backend, counter := newPeer(t), newPeer(t)
-	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.Address()+`"`,
 		`"pays": 1}`, `"pays": 1, "unitsPerS": 0.001, "depth": 2}`, // the gateway's own share is too small to pay again
 		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 0.5`).Replace, backend)
 	_, answers := r.client(t, ask("GET", "lookup", ""))
-	conn, calls := counter.accept(t)
+	conn, calls := counter.Accept(t)
 	first, _ := readRequest(t, calls)
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX: ")
-	conn, calls = counter.accept(t)
+	conn, calls = counter.Accept(t)
 	second, _ := readRequest(t, calls)
 	added := 0.0
 	for _, call := range []*http.Request{first, second} {
@@ -360,11 +360,11 @@
 	t.Parallel()
 	const timeout = 200 * time.Millisecond
 	backend, counter := newPeer(t), newPeer(t)
-	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.Address()+`"`,
 		`"pays": 1}`, `"pays": 1, "unitsPerS": 0.001, "depth": 2}`, // the gateway's own share is too small to pay
 		`"mostUnits": 4`, fmt.Sprintf(`"mostUnits": 4, "hasCounter": true, "counterTimeoutS": %g`, timeout.Seconds())).Replace, backend)
 	_, answers := r.client(t, ask("GET", "lookup", ""))
-	conn, calls := counter.accept(t)
+	conn, calls := counter.Accept(t)
 	first, _ := readRequest(t, calls)
 	time.Sleep(timeout * 3 / 2) // the answer counts whenever it comes; here most likely late
 	total(conn, http.StatusOK, first.URL.Query().Get("add"))
@@ -387,7 +387,7 @@
 			t.Parallel()
 			const depth = 2000.0
 			counter := newPeer(t)
-			r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+			r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.Address()+`"`,
 				`"pays": 1}`, fmt.Sprintf(`"pays": 1, "unitsPerS": 1000, "depth": %g}`, depth),
 				`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 30`).Replace, newPeer(t))
 			r.client(t, ask("GET", "lookup", ""))
@@ -399,11 +399,11 @@
 				}
 				return req.URL.Path, n
 			}
-			conn, calls := counter.accept(t)
+			conn, calls := counter.Accept(t)
 			window, first := added(calls)
 			others := first // another gateway began the window in the same way
 			spoil(conn)
-			conn, calls = counter.accept(t)
+			conn, calls = counter.Accept(t)
 			again, second := added(calls)
 			if again != window {
 				t.Skip("the window has just ended")
@@ -423,11 +423,11 @@
 func TestReload(t *testing.T) {
 	t.Parallel()
 	backend, second, counter, moved := newPeer(t), newPeer(t), newPeer(t), newPeer(t)
-	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+	r := newRigWith(t, strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.Address()+`"`,
 		`"pays": 1}`, `"pays": 1, "unitsPerS": 5, "depth": 20}`,
 		`"mostUnits": 4`, `"mostUnits": 4, "hasCounter": true, "counterTimeoutS": 30`).Replace, backend)
 	_, held := r.client(t, ask("GET", "lookup", ""))
-	calls, cr := counter.accept(t)
+	calls, cr := counter.Accept(t)
 	readRequest(t, cr) // not answered yet
 
 	good := *r.config.Load()
@@ -435,7 +435,7 @@
 	r.config.Store(&bad)
 	r.hup <- syscall.SIGHUP
 	other := newRegistry(t)
-	next := strings.NewReplacer(r.registry.address(), other.address(), counter.address(), moved.address()).Replace(good)
+	next := strings.NewReplacer(r.registry.Address(), other.Address(), counter.Address(), moved.Address()).Replace(good)
 	r.config.Store(&next)
 	r.hup <- syscall.SIGHUP
 	if query := wait(t, other.calls, "call of the new discovery"); query != "" {
@@ -454,7 +454,7 @@
 		t.Errorf("watch %q", query)
 	}
 	_, answers := r.client(t, ask("GET", "lookup", "", clientHeader, "0000000000000001"))
-	calls, cr = moved.accept(t)
+	calls, cr = moved.Accept(t)
 	readRequest(t, cr)
 	total(calls, 200, "12")
 	serveOne(t, second, "ok")
@@ -469,7 +469,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	conn, _ := r.client(t, ask("POST", "booking", "x"))
-	_, br := backend.accept(t)
+	_, br := backend.Accept(t)
 	readRequest(t, br)
 	conn.Close()
 	if _, err := br.ReadByte(); err != io.EOF {
@@ -481,10 +481,10 @@
 	t.Parallel()
 	dead, backend := newPeer(t), newPeer(t)
 	r := newRig(t, dead, backend)
-	dead.listener.Close()
+	dead.Listener.Close()
 	for range 4 { // none is lost, whichever is picked first
 		_, answers := r.client(t, ask("POST", "payment", "x"))
-		conn, br := backend.accept(t)
+		conn, br := backend.Accept(t)
 		readRequest(t, br)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		if resp := wait(t, answers, "answer"); resp.StatusCode != 200 {
@@ -497,8 +497,8 @@
 	r.registry.answers <- listing(false, "Terminating", backend)
 	wait(t, r.registry.calls, "next watch")
 	_, answers := r.client(t, ask("GET", "glance", ""))
-	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || len(backend.conns) != 0 {
-		t.Errorf("status %d, %d connections to the draining backend", resp.StatusCode, len(backend.conns))
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || len(backend.Conns) != 0 {
+		t.Errorf("status %d, %d connections to the draining backend", resp.StatusCode, len(backend.Conns))
 	}
 }
 
@@ -509,7 +509,7 @@
 	backend := newPeer(t)
 	r := newRig(t, backend)
 	_, held := r.client(t, ask("POST", "booking", "held"))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	readRequest(t, br)
 	unused, err := net.Dial("tcp", r.address) // must not hold up the end
 	if err != nil {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,155 +5,111 @@
 	"log"
 	"net/http"
 	"sync"
-	"time"
 
+	"linnetbend/internal/owner"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
 )
 
 const (
-	inboxSize    = 1024
 	answerMargin = 0.005 // seconds kept of a deadline for the way to the client, the loop and the write
 	sameMoment   = 0.001 // a cancel so close before an attempt's time-out is one
 )
 
-// What sockets tell the loop.
+// What sockets and operators tell the loop.
 type (
-	arrival     struct{ x *exchange }
-	clientGone  struct{ x *exchange }
+	arrival struct {
+		l *Loop
+		x *exchange
+	}
+	clientGone struct {
+		l *Loop
+		x *exchange
+	}
 	attemptDone struct {
+		l      *Loop
 		a      *attempt
 		result result
 	}
-	bodyWhole struct{ a *attempt } // a body that passes through has gone whole
-	callDone  struct {
-		k       *call
-		outcome rules.Outcome
-		total   float64
+	bodyWhole struct { // a body that passes through has gone whole
+		l *Loop
+		a *attempt
 	}
 	news struct {
+		l       *Loop
 		listing Listing
 		kind    rules.ListKind
 	}
 	handCall struct { // an operator's
+		l    *Loop
 		id   string
 		ask  bool // only whether the id was ever listed
 		out  bool
 		done chan error // has room for one
 	}
-	outByHand struct{ ids map[string]struct{} } // all that are, as noted
+	outByHand struct { // all that are, as noted
+		l   *Loop
+		ids map[string]struct{}
+	}
 )
 
-// Loop is the one owner of the decision module. All that happens comes to it
-// in order; it runs the module's actions and waits for no socket.
+func (m arrival) Take()    { m.l.arrive(m.x) }
+func (m clientGone) Take() { m.l.leave(m.x) }
+func (m bodyWhole) Take()  { m.l.bodyWhole(m.a) }
+func (m news) Take()       { m.l.list(m.listing, m.kind) }
+func (m handCall) Take()   { m.done <- m.l.takeByHand(m) }
+
+func (m attemptDone) Take() {
+	if m.result.rest != nil {
+		m.l.begin(m.a, m.result)
+	} else {
+		m.l.endAttempt(m.a, m.result)
+	}
+}
+
+func (m outByHand) Take() {
+	for id := range m.l.out {
+		if _, still := m.ids[id]; !still {
+			m.l.setOut(id, false)
+		}
+	}
+	for id := range m.ids {
+		m.l.setOut(id, true)
+	}
+}
+
+// Loop is the part of the module's owner that concerns requests: it gives each its
+// one final answer, starts and ends attempts, and hands the list of backends on. All of it
+// runs in the owner's goroutine.
 type Loop struct {
-	clock    clock
+	*owner.Owner
 	deploy   *wire.Deployment
-	gateway  *rules.Gateway
 	pools    *pools
-	counter  *counter
 	onListed func()
 
-	inbox    chan any
-	stopped  chan struct{}  // closed when run ends
 	attempts sync.WaitGroup // those that use sockets
 
-	live    map[rules.RequestID]*exchange // until the last attempt has ended
-	ids     recent                        // the clients' own, of requests taken lately
-	nextID  rules.RequestID
-	names   map[rules.BackendID]listed // the ready ones
-	ever    everListed
-	out     map[string]struct{} // backends out by hand; the module leaves them out
-	calls   map[uint64][]*call  // by name, in order, until their replies are handed on
-	timers  timerHeap
-	actions []rules.Action
-	pending []rules.Event // events that actions brought about
+	live  map[rules.RequestID]*exchange // until the last attempt has ended
+	ids   recent                        // the clients' own, of requests taken lately
+	names map[rules.BackendID]listed    // the ready ones
+	ever  everListed
+	out   map[string]struct{} // backends out by hand; the module leaves them out
 }
 
-func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
-	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
-		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]listed{},
-		out: map[string]struct{}{}, calls: map[uint64][]*call{}}
-	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
-	l.act(l.actions)
+func newLoop(c *Config, p *pools, k owner.Counter, onListed func()) *Loop {
+	l := &Loop{Owner: owner.New(c.Settings, c.Seed, k), deploy: &c.Deployment, pools: p, onListed: onListed,
+		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]listed{}, out: map[string]struct{}{}}
+	l.Start(l)
 	return l
 }
 
-// post tells the loop something. It returns false once the loop has ended.
-func (l *Loop) post(m any) bool {
-	select {
-	case l.inbox <- m:
-		return true
-	case <-l.stopped:
-		return false
-	}
-}
-
 // hear passes on what discovery told.
 func (l *Loop) hear(told Listing) {
 	kind := rules.Delta
 	if told.Reset {
 		kind = rules.FullList
 	}
-	l.post(news{told, kind})
-}
-
-// run works until ctx ends.
-func (l *Loop) run(ctx context.Context) {
-	defer close(l.stopped)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-l.inbox:
-			l.take(m)
-		case <-timer.C:
-		}
-		now := l.clock.now()
-		for len(l.timers) > 0 && (l.timers[0].at <= now || l.void(l.timers[0])) {
-			if t := l.timers.next(); !l.void(t) {
-				l.due(t)
-			}
-		}
-		if len(l.timers) > 0 {
-			timer.Reset(time.Until(l.clock.at(l.timers[0].at)))
-		}
-	}
-}
-
-func (l *Loop) take(m any) {
-	switch m := m.(type) {
-	case arrival:
-		l.arrive(m.x)
-	case clientGone:
-		l.leave(m.x)
-	case attemptDone:
-		if m.result.rest != nil {
-			l.begin(m.a, m.result)
-		} else {
-			l.endAttempt(m.a, m.result)
-		}
-	case bodyWhole:
-		l.bodyWhole(m.a)
-	case callDone:
-		l.endCall(m.k, m.outcome, m.total)
-	case news:
-		l.list(m.listing, m.kind)
-	case handCall:
-		m.done <- l.takeByHand(m)
-	case outByHand:
-		for id := range l.out {
-			if _, still := m.ids[id]; !still {
-				l.setOut(id, false)
-			}
-		}
-		for id := range m.ids {
-			l.setOut(id, true)
-		}
-	}
+	l.Post(news{l, told, kind})
 }
 
 // leave takes a client's leaving. Danger: an answer may just have been given that
@@ -161,7 +117,7 @@
 func (l *Loop) leave(x *exchange) {
 	if x.open {
 		x.open = false
-		l.handle(rules.ClientGone{Request: x.ask.ID})
+		l.Handle(rules.ClientGone{Request: x.ask.ID})
 		l.drop(x)
 		return
 	}
@@ -180,20 +136,6 @@
 	}
 }
 
-// handle gives the module an event, and then what its actions brought about.
-func (l *Loop) handle(ev rules.Event) {
-	l.pending = append(l.pending, ev)
-	if len(l.pending) > 1 {
-		return // an outer call is at it
-	}
-	for n := 0; n < len(l.pending); n++ {
-		l.actions = l.gateway.Handle(l.clock.now(), l.pending[n], l.actions[:0])
-		l.act(l.actions)
-	}
-	clear(l.pending)
-	l.pending = l.pending[:0]
-}
-
 // arrive gives a request an id of its own and hands it to the module.
 func (l *Loop) arrive(x *exchange) {
 	if l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
@@ -206,12 +148,9 @@
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
-	for taken := true; taken; _, taken = l.live[l.nextID] {
-		l.nextID = max(l.nextID+1, 1) // 0 stands for no request
-	}
-	x.ask.ID, x.open = l.nextID, true
+	x.ask.ID, x.open = l.NewID(), true
 	l.live[x.ask.ID] = x
-	l.handle(x.ask)
+	l.Handle(x.ask)
 }
 
 // list takes in what discovery told. Connections follow it before the module
@@ -250,44 +189,33 @@
 			}
 		}
 	}
-	l.handle(ev)
+	l.Handle(ev)
 	if kind != rules.CachedList {
 		l.onListed()
 	}
 }
 
-func (l *Loop) act(actions []rules.Action) {
-	for _, action := range actions {
-		switch a := action.(type) {
-		case rules.Send:
-			l.send(a)
-		case rules.Cancel:
-			l.cancel(a)
-		case rules.Refuse:
-			l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
-		case rules.Fail:
-			l.answer(a.Request, answer{status: http.StatusBadGateway})
-		case rules.SetTimer:
-			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
-		case rules.Count:
-			l.count(a)
-		case rules.Log:
-			log.Print(a.Text)
-		case rules.Subscribe: // the watch always runs
-		}
-	}
+// Live tells whether a request, or an attempt of it, is still out.
+func (l *Loop) Live(id rules.RequestID) bool { return l.live[id] != nil }
+
+// Refuse answers a request: trying again is harmless.
+func (l *Loop) Refuse(a rules.Refuse) {
+	l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
 }
 
+// Fail answers a request that may have run.
+func (l *Loop) Fail(a rules.Fail) { l.answer(a.Request, answer{status: http.StatusBadGateway}) }
+
 // byHand passes on a call of an operator and waits for its end.
 func (l *Loop) byHand(ctx context.Context, c handCall) error {
-	c.done = make(chan error, 1)
-	if !l.post(c) {
+	c.l, c.done = l, make(chan error, 1)
+	if !l.Post(c) {
 		return errStopped
 	}
 	select {
 	case err := <-c.done:
 		return err
-	case <-l.stopped:
+	case <-l.Stopped():
 		return errStopped
 	case <-ctx.Done():
 		return ctx.Err()
@@ -318,29 +246,29 @@
 		if ready {
 			l.pools.remove(id)
 		}
-		l.handle(rules.Detach{Backend: id})
+		l.Handle(rules.Detach{Backend: id})
 		return
 	}
 	delete(l.out, name)
 	if ready {
 		l.pools.update(id, at.address, at.born)
 	}
-	l.handle(rules.Attach{Backend: id})
+	l.Handle(rules.Attach{Backend: id})
 }
 
-// send starts an attempt. What is over or was tried too often gets none.
-func (l *Loop) send(s rules.Send) {
+// Send starts an attempt. What is over or was tried too often gets none.
+func (l *Loop) Send(s rules.Send) {
 	x := l.live[s.Request]
 	if x == nil {
 		log.Printf("request %d is not known", s.Request)
 		return
 	}
-	now := l.clock.now()
-	a := &attempt{x: x, number: len(x.attempts), backend: s.Backend, sent: now, deadline: x.ask.Deadline}
+	now := l.Clock.Now()
+	a := &attempt{x: x, loop: l, number: len(x.attempts), backend: s.Backend, sent: now, deadline: x.ask.Deadline}
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
-	a.until = l.clock.at(a.deadline)
+	a.until = l.Clock.At(a.deadline)
 	x.attempts = append(x.attempts, a)
 	x.out++
 	if !x.open || a.number >= max(l.deploy.MaxAttempts, 1) || a.deadline <= now {
@@ -348,15 +276,15 @@
 		return
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.passed = func(o rules.Outcome) { l.post(attemptDone{a, result{outcome: o}}) }
+	a.passed = func(o rules.Outcome) { l.Post(attemptDone{l, a, result{outcome: o}}) }
 	if x.upload != nil {
-		a.whole = func() { l.post(bodyWhole{a}) }
+		a.whole = func() { l.Post(bodyWhole{l, a}) }
 	}
-	l.timers.add(timerEntry{at: a.deadline, attempt: a})
+	l.After(a.deadline, a)
 	l.attempts.Go(func() { // ends by a.until, or when the attempt is called off
 		res := l.pools.attempt(a)
 		a.cancel()
-		l.post(attemptDone{a, res})
+		l.Post(attemptDone{l, a, res})
 	})
 }
 
@@ -366,10 +294,10 @@
 	if a.ended || !x.open {
 		return
 	}
-	x.ask.Deadline = l.clock.now() + x.left
+	x.ask.Deadline = l.Clock.Now() + x.left
 	a.deadline = x.ask.Deadline
-	l.timers.add(timerEntry{at: a.deadline, attempt: a})
-	l.handle(rules.BodyWhole{Request: x.ask.ID, Deadline: x.ask.Deadline})
+	l.After(a.deadline, a)
+	l.Handle(rules.BodyWhole{Request: x.ask.ID, Deadline: x.ask.Deadline})
 }
 
 // begin gives a client an answer that passes through: it is final from its first
@@ -385,7 +313,7 @@
 	header := passedOn(res.header)
 	header.Del(loadHeader)
 	l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, rest: res.rest})
-	l.handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.clock.now() - a.sent})
+	l.Handle(rules.Established{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Took: l.Clock.Now() - a.sent})
 }
 
 // endAttempt takes an attempt's one end; what comes after it is dropped.
@@ -401,12 +329,13 @@
 		header.Del(loadHeader) // for gateways, not for clients
 		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
 	}
-	l.handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
-		Took: l.clock.now() - a.sent, Done: !x.open})
+	l.Handle(rules.AttemptEnd{Request: x.ask.ID, Attempt: a.number, Backend: a.backend, Outcome: res.outcome,
+		Took: l.Clock.Now() - a.sent, Done: !x.open})
 	l.drop(x)
 }
 
-func (l *Loop) cancel(c rules.Cancel) {
+// Cancel ends an attempt.
+func (l *Loop) Cancel(c rules.Cancel) {
 	x := l.live[c.Request]
 	if x == nil || c.Attempt >= len(x.attempts) || x.attempts[c.Attempt].ended || x.attempts[c.Attempt].streams {
 		return
@@ -414,7 +343,7 @@
 	a := x.attempts[c.Attempt]
 	a.callOff()
 	outcome := rules.Cancelled
-	if l.clock.now() >= a.deadline-sameMoment {
+	if l.Clock.Now() >= a.deadline-sameMoment {
 		outcome = rules.TimedOut // the module learns from it
 	}
 	l.endAttempt(a, result{outcome: outcome})
@@ -438,129 +367,16 @@
 	}
 }
 
-func (l *Loop) count(c rules.Count) {
-	k := &call{id: c.Call, name: c.Name, amount: c.Amount, sent: l.clock.now(),
-		keep: min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)}
-	k.report = func(k *call, o rules.Outcome, total float64) { l.post(callDone{k, o, total}) }
-	l.calls[k.name] = append(l.calls[k.name], k)
-	if l.counter == nil || !l.counter.add(k) {
-		l.endCall(k, rules.Full, 0)
-		return
-	}
-	l.timers.add(timerEntry{at: k.sent + l.deploy.CounterTimeout, call: k})
-}
-
-// endCall takes a call's one end. Danger: the module takes the replies for one
-// name in the order of the calls, but a call that is turned away here, or goes
-// out on a new connection, may end before an earlier one; it waits for that. What
-// becomes of a call that was given up is told all the same.
-func (l *Loop) endCall(k *call, o rules.Outcome, total float64) {
-	if k.ended {
-		if k.outcome == rules.TimedOut {
-			l.handle(rules.CounterLate{Call: k.id, Outcome: o, Total: total})
-		}
-		return
-	}
-	k.ended, k.outcome, k.total = true, o, total
-	for out := l.calls[k.name]; len(out) > 0 && out[0].ended; out = l.calls[k.name] {
-		k := out[0]
-		if l.calls[k.name] = out[1:]; len(out) == 1 {
-			delete(l.calls, k.name)
-		}
-		l.handle(rules.CounterReply{Name: k.name, Outcome: k.outcome, Total: k.total, Took: l.clock.now() - k.sent})
-	}
-}
-
-// giveUp ends a call whose time is over. An answer that has begun, and may never
-// end, says as much as one that can't be read: the amount was added. Danger: told
-// as silence, it would pass for a crowd, and what it added would be lost. A refusal
-// cut to pieces on its way passes for added too; what is taken back then is one call's.
-func (l *Loop) giveUp(k *call) {
-	k.givenUp.Store(true)
-	outcome := rules.TimedOut
-	if k.begun.Load() {
-		outcome = rules.Errored
-	}
-	l.endCall(k, outcome, 0)
-}
-
-// void tells whether nobody waits for a timer any more. Such timers are most of
-// all, and the process is not woken for them.
-func (l *Loop) void(t timerEntry) bool {
-	switch {
-	case t.attempt != nil:
-		return t.attempt.ended || t.attempt.streams
-	case t.call != nil:
-		return t.call.ended
-	case t.request != 0:
-		return l.live[t.request] == nil
-	}
-	return false
-}
-
-func (l *Loop) due(t timerEntry) {
-	switch {
-	case t.attempt != nil:
-		if l.clock.now() < t.attempt.deadline-sameMoment {
-			return // its body has come whole since, and its time runs from there
-		}
-		t.attempt.callOff()
-		l.endAttempt(t.attempt, result{outcome: rules.TimedOut})
-	case t.call != nil:
-		l.giveUp(t.call)
-	default:
-		l.handle(rules.Timer{Token: t.token})
-	}
-}
-
-// timerEntry is a timer of the module's, or the time-out of an attempt or call.
-type timerEntry struct {
-	at      float64
-	token   uint64
-	request rules.RequestID // 0: the timer belongs to none
-	attempt *attempt
-	call    *call
-}
-
-// timerHeap has the earliest timer first. It is container/heap's algorithm
-// without its interface: that took two allocations a timer, and a request has
-// several.
-type timerHeap []timerEntry
-
-func (h *timerHeap) add(t timerEntry) {
-	*h = append(*h, t)
-	list := *h
-	for i := len(list) - 1; i > 0; {
-		up := (i - 1) / 2
-		if list[up].at <= list[i].at {
-			return
-		}
-		list[up], list[i] = list[i], list[up]
-		i = up
-	}
-}
+// Over tells whether nobody waits for the attempt's time-out.
+func (a *attempt) Over() bool { return a.ended || a.streams }
 
-// next takes the earliest timer off. There must be one.
-func (h *timerHeap) next() timerEntry {
-	list := *h
-	first, last := list[0], len(list)-1
-	list[0], list[last] = list[last], timerEntry{}
-	list = list[:last]
-	*h = list
-	for i := 0; ; {
-		least := 2*i + 1
-		if least >= last {
-			return first
-		}
-		if right := least + 1; right < last && list[right].at < list[least].at {
-			least = right
-		}
-		if list[i].at <= list[least].at {
-			return first
-		}
-		list[i], list[least] = list[least], list[i]
-		i = least
+// Due ends an attempt whose time is over.
+func (a *attempt) Due() {
+	if a.loop.Clock.Now() < a.deadline-sameMoment {
+		return // its body has come whole since, and its time runs from there
 	}
+	a.callOff()
+	a.loop.endAttempt(a, result{outcome: rules.TimedOut})
 }
 
 // listed is what discovery says of a ready backend.
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -1,34 +1,10 @@
 package gateway
 
 import (
-	"math/rand/v2"
-	"slices"
 	"strconv"
 	"testing"
-
-	"linnetbend/rules"
 )
 
-// The module takes replies for one name in the order of the calls, so a later
-// call that ends first waits for the earlier.
-func TestRepliesInOrder(t *testing.T) {
-	l := &Loop{calls: map[uint64][]*call{}, gateway: &rules.Gateway{}}
-	l.pending = []rules.Event{nil} // an outer call is at it: replies are queued
-	first, second, other := &call{name: 1, amount: 1}, &call{name: 1, amount: 2}, &call{name: 2}
-	l.calls[1], l.calls[2] = []*call{first, second}, []*call{other}
-	l.endCall(second, rules.Full, 0)
-	l.endCall(other, rules.Served, 3)
-	l.endCall(first, rules.Served, 5)
-	l.endCall(first, rules.TimedOut, 0) // it has ended
-	var got []rules.Outcome
-	for _, ev := range l.pending[1:] {
-		got = append(got, ev.(rules.CounterReply).Outcome)
-	}
-	if want := []rules.Outcome{rules.Served, rules.Served, rules.Full}; !slices.Equal(got, want) || len(l.calls) > 0 {
-		t.Errorf("replies %v, want %v; %d names left", got, want, len(l.calls))
-	}
-}
-
 // Ids are remembered for as long as a request may be open, and not for good.
 func TestRecent(t *testing.T) {
 	var r recent
@@ -51,61 +27,3 @@
 		t.Errorf("%d ids are remembered", n)
 	}
 }
-
-// Timers of what is over wake nobody, but none that is waited for may be lost.
-func TestVoidTimers(t *testing.T) {
-	l := &Loop{live: map[rules.RequestID]*exchange{7: {}}}
-	for _, c := range []struct {
-		name string
-		t    timerEntry
-		want bool
-	}{
-		{"the module's own", timerEntry{}, false},
-		{"of a live request", timerEntry{request: 7}, false},
-		{"of a request that is over", timerEntry{request: 8}, true},
-		{"of an attempt that is out", timerEntry{attempt: &attempt{}}, false},
-		{"of an attempt that has ended", timerEntry{attempt: &attempt{ended: true}}, true},
-		{"of a call that is out", timerEntry{call: &call{}}, false},
-		{"of an answered call", timerEntry{call: &call{ended: true}}, true},
-	} {
-		if got := l.void(c.t); got != c.want {
-			t.Errorf("%s: void %t", c.name, got)
-		}
-	}
-}
-
-// Timers come off in the order of their times, whatever the order they went on.
-func TestTimersComeInOrder(t *testing.T) {
-	r := rand.New(rand.NewPCG(1, 2))
-	var h timerHeap
-	for round := range 200 {
-		var want []float64
-		for _, e := range h {
-			want = append(want, e.at)
-		}
-		for range r.IntN(20) {
-			at := float64(r.IntN(30))
-			h.add(timerEntry{at: at})
-			want = append(want, at)
-		}
-		slices.Sort(want)
-		for _, at := range want[:r.IntN(len(want)+1)] {
-			if got := h.next(); got.at != at {
-				t.Fatalf("round %d: %g came before %g", round, got.at, at)
-			}
-		}
-	}
-}
-
-func BenchmarkTimers(b *testing.B) {
-	var h timerHeap
-	for i := range 500 {
-		h.add(timerEntry{at: float64(i * 7919 % 500)})
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		t := h.next()
-		t.at += 500
-		h.add(t)
-	}
-}
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -114,7 +114,7 @@
 			log.Print(err)
 		}
 		if changed {
-			o.front.loop.post(outByHand{ids})
+			o.front.loop.Post(outByHand{o.front.loop, ids})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/operator_test.go
+++ b/internal/gateway/operator_test.go
@@ -42,7 +42,7 @@
 	t.Parallel()
 	backend := newPeer(t)
 	r := newRigWith(t, withDesk, backend)
-	id := fmt.Sprintf(`{"id":%q}`, backend.address())
+	id := fmt.Sprintf(`{"id":%q}`, backend.Address())
 	for _, c := range []struct {
 		method, path, body string
 		want               int
@@ -102,9 +102,9 @@
 	backend := newPeer(t)
 	r := newRigWith(t, withDesk, backend)
 	_, first := r.client(t, ask("POST", "booking", "x"))
-	kept, br := backend.accept(t)
+	kept, br := backend.Accept(t)
 	readRequest(t, br)
-	id := fmt.Sprintf(`{"id":%q}`, backend.address())
+	id := fmt.Sprintf(`{"id":%q}`, backend.Address())
 	if got := r.call(t, "POST", "/_backends/detach", id); got != 200 {
 		t.Fatalf("out: %d", got)
 	}
@@ -122,8 +122,8 @@
 	r.registry.answers <- again
 	wait(t, r.registry.calls, "next watch")
 	_, refused := r.client(t, ask("GET", "glance", ""))
-	if resp := wait(t, refused, "answer"); resp.StatusCode != 429 || len(backend.conns) != 0 {
-		t.Errorf("while out: %d, %d connections", resp.StatusCode, len(backend.conns))
+	if resp := wait(t, refused, "answer"); resp.StatusCode != 429 || len(backend.Conns) != 0 {
+		t.Errorf("while out: %d, %d connections", resp.StatusCode, len(backend.Conns))
 	}
 	if got := r.call(t, "POST", "/_backends/attach", id); got != 200 {
 		t.Fatalf("in: %d", got)
@@ -142,7 +142,7 @@
 	backend := newPeer(t)
 	r := newRigWith(t, withDesk, backend)
 	_, held := r.client(t, ask("POST", "booking", "held"))
-	conn, br := backend.accept(t)
+	conn, br := backend.Accept(t)
 	readRequest(t, br)
 	idle, first := r.client(t, "GET "+readyPath+" HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
 	wait(t, first, "answer")
@@ -158,7 +158,7 @@
 		t.Errorf("ready while drained: %d and %d", got, desk)
 	}
 	_, late := r.client(t, ask("POST", "booking", "late"))
-	other, br := backend.accept(t)
+	other, br := backend.Accept(t)
 	readRequest(t, br)
 	io.WriteString(other, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 	if resp := wait(t, late, "answer"); resp.StatusCode != 200 || !resp.Close {
@@ -244,16 +244,16 @@
 	backend := newPeer(t)
 	r := newRigWith(t, withDesk, backend)
 	other := newHandBook(r.state, "n3")
-	if err := other.note(backend.address(), true); err != nil {
+	if err := other.note(backend.Address(), true); err != nil {
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 		_, answers := r.client(t, ask("GET", "glance", ""))
-		if resp := wait(t, answers, "answer"); resp.StatusCode == 429 && len(backend.conns) == 0 {
+		if resp := wait(t, answers, "answer"); resp.StatusCode == 429 && len(backend.Conns) == 0 {
 			break
 		}
-		for len(backend.conns) > 0 {
-			(<-backend.conns).Close()
+		for len(backend.Conns) > 0 {
+			(<-backend.Conns).Close()
 		}
 		if time.Now().After(end) {
 			t.Fatal("the backend is still used")
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,193 @@
+// Package owner drives the decision module. One goroutine owns it: all that
+// happens comes to that in order, it runs the module's actions, and it waits for no
+// socket. Fronts and clients of other services talk to it by messages. The counter and
+// timers are carried out here; what concerns requests goes to the front that takes
+// them.
+package owner
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"linnetbend/internal/counter"
+	"linnetbend/rules"
+)
+
+const (
+	inboxSize = 1024
+	mostKeep  = 60 * time.Second // of a name; the counter takes longer ones for this
+	leastKeep = time.Millisecond
+)
+
+// Message is something that happened. Take runs in the owner's goroutine and must
+// not wait.
+type Message interface{ Take() }
+
+// Requests carries out the module's actions on requests, in the owner's goroutine.
+type Requests interface {
+	Send(rules.Send)
+	Cancel(rules.Cancel)
+	Refuse(rules.Refuse)
+	Fail(rules.Fail)
+	Live(rules.RequestID) bool // the request, or an attempt of it, is still out
+}
+
+// Counter takes calls without waiting; false where too many wait.
+type Counter interface {
+	Add(*counter.Call) bool
+}
+
+// Owner is the one owner of a decision module.
+type Owner struct {
+	Clock Clock
+
+	gateway  *rules.Gateway
+	counter  Counter // nil: there is none
+	timeout  float64 // seconds, of a call to the counter
+	requests Requests
+
+	inbox   chan Message
+	stopped chan struct{} // closed when Run ends
+
+	nextID  rules.RequestID
+	checks  map[rules.RequestID]*Check // not answered yet
+	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
+	timers  timerHeap
+	actions []rules.Action
+	pending []rules.Event // events that actions brought about
+}
+
+// New makes the owner of a module with the given settings. Nothing happens before
+// Start.
+func New(set rules.Settings, seed uint64, k Counter) *Owner {
+	o := &Owner{Clock: NewClock(), counter: k, timeout: set.CounterTimeout,
+		inbox: make(chan Message, inboxSize), stopped: make(chan struct{}),
+		checks: map[rules.RequestID]*Check{}, calls: map[uint64][]*call{}}
+	o.gateway, o.actions = rules.New(set, seed, o.Clock.Now(), nil)
+	return o
+}
+
+// Start names who carries out the actions on requests, nil where only checks are
+// taken, and runs those that the module begins with. It comes before Run.
+func (o *Owner) Start(r Requests) {
+	o.requests = r
+	o.act(o.actions)
+}
+
+// Post tells the owner something. It returns false once the owner has ended.
+func (o *Owner) Post(m Message) bool {
+	select {
+	case o.inbox <- m:
+		return true
+	case <-o.stopped:
+		return false
+	}
+}
+
+// Stopped is closed when Run has ended.
+func (o *Owner) Stopped() <-chan struct{} { return o.stopped }
+
+// Run works until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	defer close(o.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o.inbox:
+			m.Take()
+		case <-timer.C:
+		}
+		now := o.Clock.Now()
+		for len(o.timers) > 0 && (o.timers[0].at <= now || o.void(o.timers[0])) {
+			if t := o.timers.next(); !o.void(t) {
+				o.due(t)
+			}
+		}
+		if len(o.timers) > 0 {
+			timer.Reset(time.Until(o.Clock.At(o.timers[0].at)))
+		}
+	}
+}
+
+// After has d told when the clock is at that time. Only messages and actions may
+// call it.
+func (o *Owner) After(at float64, d Due) { o.timers.add(timerEntry{at: at, due: d}) }
+
+// NewID is an id that no request or check that is out has. Only messages may call it.
+func (o *Owner) NewID() rules.RequestID {
+	for taken := true; taken; {
+		o.nextID = max(o.nextID+1, 1) // 0 stands for no request
+		taken = o.live(o.nextID)
+	}
+	return o.nextID
+}
+
+// live tells whether a request or check is out.
+func (o *Owner) live(id rules.RequestID) bool {
+	if _, waits := o.checks[id]; waits {
+		return true
+	}
+	return o.requests != nil && o.requests.Live(id)
+}
+
+// Handle gives the module an event, and then what its actions brought about. Only
+// messages and actions may call it.
+func (o *Owner) Handle(ev rules.Event) {
+	o.pending = append(o.pending, ev)
+	if len(o.pending) > 1 {
+		return // an outer call is at it
+	}
+	for n := 0; n < len(o.pending); n++ {
+		o.actions = o.gateway.Handle(o.Clock.Now(), o.pending[n], o.actions[:0])
+		o.act(o.actions)
+	}
+	clear(o.pending)
+	o.pending = o.pending[:0]
+}
+
+func (o *Owner) act(actions []rules.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case rules.Send:
+			o.requests.Send(a)
+		case rules.Cancel:
+			o.requests.Cancel(a)
+		case rules.Refuse:
+			o.requests.Refuse(a)
+		case rules.Fail:
+			o.requests.Fail(a)
+		case rules.Checked:
+			o.checked(a)
+		case rules.SetTimer:
+			o.timers.add(timerEntry{at: o.Clock.Now() + max(a.In, 0), token: a.Token, request: a.Request})
+		case rules.Count:
+			o.count(a)
+		case rules.Log:
+			log.Print(a.Text)
+		case rules.Subscribe: // the watch always runs
+		}
+	}
+}
+
+// void tells whether nobody waits for a timer any more.
+func (o *Owner) void(t timerEntry) bool {
+	switch {
+	case t.due != nil:
+		return t.due.Over()
+	case t.request != 0:
+		return !o.live(t.request)
+	}
+	return false
+}
+
+func (o *Owner) due(t timerEntry) {
+	if t.due != nil {
+		t.due.Due()
+		return
+	}
+	o.Handle(rules.Timer{Token: t.token})
+}
--- a/internal/gateway/idle.go
+++ b/internal/sockets/trust.go
@@ -1,4 +1,4 @@
-package gateway
+package sockets
 
 import (
 	"math"
@@ -7,35 +7,35 @@
 )
 
 const (
-	idleLeast  = 25 * time.Millisecond // a rest so short is always trusted
+	IdleLeast  = 25 * time.Millisecond // a rest so short is always trusted
 	idleSteps  = 10                    // lengths of rest that are told apart, each twice the one before
-	idleBroken = 3.0                   // so many breaks, at least, make a length suspect
+	IdleBroken = 3.0                   // so many breaks, at least, make a length suspect
 	idleShare  = 1.0 / 3               // and this share of its uses
 	idleSpan   = 20 * time.Second      // over which what was learnt fades
 )
 
-// idleTrust learns how long a connection may rest and still be used. Danger:
+// Trust learns how long a connection may rest and still be used. Danger:
 // something on the way may forget idle connections and say nothing, or the peer
 // may close them far sooner than agreed. What is written to one ends as a reset
 // that proves nothing: an attempt is in doubt, its backend looks sick, and a call of
 // the counter may have been added. Peers that break at random look alike at any
 // age, so a length is judged by the share of its uses. It could hurt where few
 // uses happen to break: then new connections are made for a while instead.
-type idleTrust struct {
+type Trust struct {
 	mu     sync.Mutex
 	steps  [idleSteps]struct{ held, broken float64 }
 	fadeAt time.Time // up to when what was learnt has faded
 }
 
-// note tells what came of using a connection after a rest.
-func (t *idleTrust) note(now time.Time, rest time.Duration, broke bool) {
-	if rest < idleLeast {
+// Note tells what came of using a connection after a rest.
+func (t *Trust) Note(now time.Time, rest time.Duration, broke bool) {
+	if rest < IdleLeast {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fade(now)
-	s := &t.steps[min(int(math.Log2(float64(rest)/float64(idleLeast))), idleSteps-1)]
+	s := &t.steps[min(int(math.Log2(float64(rest)/float64(IdleLeast))), idleSteps-1)]
 	if broke {
 		s.broken++
 	} else {
@@ -43,20 +43,20 @@
 	}
 }
 
-// limit is the rest from which on connections are not to be used.
-func (t *idleTrust) limit(now time.Time) time.Duration {
+// Limit is the rest from which on connections are not to be used.
+func (t *Trust) Limit(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fade(now)
 	for i, s := range t.steps {
-		if s.broken >= idleBroken && s.broken >= idleShare*(s.held+s.broken) {
-			return idleLeast << i
+		if s.broken >= IdleBroken && s.broken >= idleShare*(s.held+s.broken) {
+			return IdleLeast << i
 		}
 	}
 	return math.MaxInt64
 }
 
-func (t *idleTrust) fade(now time.Time) {
+func (t *Trust) fade(now time.Time) {
 	part := math.Exp(-float64(max(now.Sub(t.fadeAt), 0)) / float64(idleSpan))
 	t.fadeAt = now
 	for i := range t.steps {
