Answer limit commands over RESP, and take a RESP store for the shared counter

Sites that have a RESP store want it in the place of the HTTP counter.

Change. internal/resp reads and writes RESP 2 and 3 in bounds; internal/respfront is the front: 16 commands, pipelines handed to the module's owner in one batch, tokens, users, TLS, no buffer for an idle connection. internal/counter has a RESP client: one transaction a call, each error with its meaning, redirections, login, TLS; internal/standin/respstore is its other side with faults. The operator's file has [resp], [counter] and [quotas]; all is off by default. In the module, takes of several units showed three faults that requests of one unit never met: a lease's remainder of up to a quarter of a take stayed stranded, a refused large take kept smaller ones out, and a take did not count what was held already. Mended; for requests of one unit the arithmetic is the same.

--- a/internal/counter/http.go
+++ b/internal/counter/http.go
@@ -5,18 +5,22 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"linnetbend/internal/site"
 	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
@@ -33,6 +37,42 @@
 	mostCounterHead = 16 << 10 // bytes of an answer with its headers
 )
 
+// Client makes calls to a shared counter.
+type Client interface {
+	Add(*Call) bool          // false where too many wait; it never waits itself
+	Run(ctx context.Context) // until ctx ends
+	Move(address string)     // for all further calls
+}
+
+// Open makes the client that the operator's file asks for; nil where the settings
+// have no counter. No connection is made before the first call.
+func Open(s site.Counter, set rules.Settings, address string) (Client, error) {
+	timeout := time.Duration(set.CounterTimeout * float64(time.Second))
+	switch {
+	case !set.Counter:
+		return nil, nil
+	case s.Kind != "resp":
+		return NewHTTP(address, timeout), nil
+	}
+	store := Store{Address: address, User: s.User, Password: s.Password, Prefix: s.Prefix, Timeout: timeout}
+	if s.CA != "" {
+		pem, err := os.ReadFile(s.CA)
+		if err != nil {
+			return nil, fmt.Errorf("operator's file: counter.ca: %w", err)
+		}
+		store.TLS = &tls.Config{RootCAs: x509.NewCertPool(), ServerName: s.Name, MinVersion: tls.VersionTLS12}
+		if !store.TLS.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("operator's file: counter.ca: %s holds no certificate", s.CA)
+		}
+		if s.Name == "" {
+			if store.TLS.ServerName, _, err = net.SplitHostPort(address); err != nil {
+				return nil, fmt.Errorf("counter: %w", err)
+			}
+		}
+	}
+	return NewRESP(store), nil
+}
+
 // Call is one addition on the counter.
 type Call struct {
 	Name   uint64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"linnetbend/internal/counter"
 	"linnetbend/internal/owner"
+	"linnetbend/internal/respfront"
 	"linnetbend/rules"
 )
 
@@ -79,10 +80,13 @@
 func serve(ctx context.Context, c *Config, listener, desk net.Listener, reload Reload) error {
 	most := c.mostClients()
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
-	var calls *counter.HTTP
+	c.Settings.Fronts = c.Site.Quotas.Fronts
+	calls, err := counter.Open(c.Site.Counter, c.Settings, c.Counter)
+	if err != nil {
+		return err
+	}
 	var shared owner.Counter // nil without one
-	if c.Settings.Counter {
-		calls = counter.NewHTTP(c.Counter, seconds(c.CounterTimeout))
+	if calls != nil {
 		shared = calls
 	}
 	front := &frontend{deploy: &c.Deployment}
@@ -95,6 +99,13 @@
 	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
+	if c.Site.RESP.Listen != "" {
+		limits, err := openLimits(c, front.loop.Owner)
+		if err != nil {
+			return err
+		}
+		wg.Go(func() { limits(ctx) })
+	}
 	book := newHandBook(c.StateDir, c.Name)
 	if desk != nil {
 		out, _, err := book.changed() // before the first request
@@ -178,6 +189,31 @@
 	}
 }
 
+const bindAgain = 100 * time.Millisecond // between tries for an address that the process before still has
+
+// openLimits opens the front for limit commands and returns what serves it. In an
+// upgrade the process before has the address until it ends; then it is tried for again.
+func openLimits(c *Config, o *owner.Owner) (serve func(context.Context), err error) {
+	front, err := respfront.Open(c.Site.RESP, o, c.Settings, c.PlanNames)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	l, err := net.Listen("tcp", c.Site.RESP.Listen)
+	if err != nil && !c.Inherited {
+		return nil, fmt.Errorf("limit commands: %w", err)
+	}
+	return func(ctx context.Context) {
+		for ; err != nil; l, err = net.Listen("tcp", c.Site.RESP.Listen) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(bindAgain):
+			}
+		}
+		front.Serve(ctx, l)
+	}, nil
+}
+
 const (
 	lameLook  = 100 * time.Millisecond // between looks for idle connections of a drained gateway
 	lameQuiet = 500 * time.Millisecond // those without a request for so long are closed; the busy ones close with an answer
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,247 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/tidwall/redcon"
+)
+
+var bounds = Bounds{Args: 64, Bulk: 1 << 10, Total: 4 << 10, Depth: 4}
+
+func words(args [][]byte) []string {
+	var out []string
+	for _, a := range args {
+		out = append(out, string(a))
+	}
+	return out
+}
+
+func TestCommands(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want []string
+		err  error // ErrProtocol, or the end
+	}{
+		{"*2\r\n$4\r\nECHO\r\n$3\r\na\nb\r\n", []string{"ECHO", "a\nb"}, nil},
+		{"*1\r\n$0\r\n\r\n", []string{""}, nil},
+		{"PING\r\n", []string{"PING"}, nil},
+		{"  set  a\tb \n", []string{"set", "a", "b"}, nil},
+		{`echo "a b\x41\n" 'it\'s'` + "\r\n", []string{"echo", "a bA\n", "it's"}, nil},
+		{"\r\n", nil, nil},
+		{"*0\r\n", nil, nil},
+		{"*-1\r\n", nil, nil},
+		{`echo "a`, nil, io.ErrUnexpectedEOF},
+		{`echo "a` + "\r\n", nil, ErrProtocol},
+		{`echo "a"b` + "\r\n", nil, ErrProtocol},
+		{"*1000000000\r\n", nil, ErrProtocol},
+		{"*65\r\n", nil, ErrProtocol},
+		{"*99999999999999999999\r\n", nil, ErrProtocol},
+		{"*x\r\n", nil, ErrProtocol},
+		{"*1\r\n$-5\r\n", nil, ErrProtocol},
+		{"*1\r\n$-1\r\n", nil, ErrProtocol},
+		{"*1\r\n$1025\r\n", nil, ErrProtocol},
+		{"*1\r\n$9223372036854775807\r\n", nil, ErrProtocol},
+		{"*1\r\n+PING\r\n", nil, ErrProtocol},
+		{"*1\r\n\r\n", nil, ErrProtocol},
+		{"*1\r\n$4\r\nPINGxx", nil, ErrProtocol},
+		{"*5\r\n" + strings.Repeat("$1000\r\n"+strings.Repeat("x", 1000)+"\r\n", 5), nil, ErrProtocol},
+		{strings.Repeat("x", 8<<10) + "\r\n", nil, ErrProtocol},
+		{strings.Repeat("x ", 65) + "\r\n", nil, ErrProtocol},
+		{"*2\r\n$4\r\nECHO\r\n$3\r\nab", nil, io.ErrUnexpectedEOF},
+		{"*2\r\n$4\r\nECHO\r\n", nil, io.ErrUnexpectedEOF},
+		{"*2\r\n$4\r", nil, io.ErrUnexpectedEOF},
+		{"", nil, io.EOF},
+	} {
+		args, _, err := NewReader(strings.NewReader(c.text), bounds).Command(nil, nil)
+		if !errors.Is(err, c.err) || err == nil && !reflect.DeepEqual(words(args), c.want) {
+			t.Errorf("%.60q: %q, %v; want %q, %v", c.text, words(args), err, c.want, c.err)
+		}
+	}
+}
+
+// Commands of one pipeline keep their words although the buffer grows under them.
+func TestPipelineKeepsItsWords(t *testing.T) {
+	var w Writer
+	for i := range 100 {
+		w.Command("ECHO", fmt.Sprint(i))
+	}
+	r := NewReader(bytes.NewReader(w.Buf), bounds)
+	var text []byte
+	var all [][][]byte
+	for range 100 {
+		var args [][]byte
+		var err error
+		if args, text, err = r.Command(nil, text); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, args)
+	}
+	for i, args := range all {
+		if len(args) != 2 || string(args[1]) != fmt.Sprint(i) {
+			t.Errorf("command %d: %q", i, words(args))
+		}
+	}
+}
+
+func TestReplies(t *testing.T) {
+	for _, version := range []int{2, 3} {
+		w := Writer{Version: version}
+		w.Array(10)
+		w.Simple("OK")
+		w.Error("ERR no\r\nway")
+		w.Int(-7)
+		w.Bulk("a\r\nb")
+		w.Null()
+		w.Double(1.5)
+		w.Double(math.Inf(1))
+		w.Bool(true)
+		w.Map(1)
+		w.Bulk("n")
+		w.Bool(false)
+		w.Set(1)
+		w.Int(3)
+		v, err := NewReader(bytes.NewReader(w.Buf), bounds).Reply()
+		if err != nil || len(v.List) != 10 {
+			t.Fatalf("version %d: %+v, %v", version, v, err)
+		}
+		want := []Value{{Kind: Simple, Str: "OK"}, {Kind: Error, Str: "ERR no  way"}, {Kind: Int, Int: -7}, {Kind: Bulk, Str: "a\r\nb"},
+			{Kind: Null}, {Kind: Double, Num: 1.5}, {Kind: Double, Num: math.Inf(1)}, {Kind: Bool, Int: 1},
+			{Kind: Map, List: []Value{{Kind: Bulk, Str: "n"}, {Kind: Bool}}}, {Kind: Set, List: []Value{{Kind: Int, Int: 3}}}}
+		if version == 2 {
+			want[5], want[6], want[7] = Value{Kind: Bulk, Str: "1.5"}, Value{Kind: Bulk, Str: "inf"}, Value{Kind: Int, Int: 1}
+			want[8] = Value{Kind: Array, List: []Value{{Kind: Bulk, Str: "n"}, {Kind: Int}}}
+			want[9].Kind = Array
+		}
+		if !reflect.DeepEqual(v.List, want) {
+			t.Errorf("version %d:\n%+v, want\n%+v", version, v.List, want)
+		}
+	}
+	for _, bad := range []string{"*-2\r\n", "*100\r\n", "%40\r\n", ":x\r\n", "#x\r\n", ",x\r\n", "$5000\r\n", "=2\r\nab\r\n", "_1\r\n", "\r\n", "?\r\n",
+		strings.Repeat("*1\r\n", 6) + ":1\r\n"} {
+		if v, err := NewReader(strings.NewReader(bad), bounds).Reply(); !errors.Is(err, ErrProtocol) {
+			t.Errorf("%q: %+v, %v", bad, v, err)
+		}
+	}
+}
+
+// Streams of commands are read alike by this reader and by a well-known server's,
+// however they are cut.
+func TestReaderAgainstAnother(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		var w Writer
+		for range 1 + rng.IntN(20) {
+			list := make([]string, 1+rng.IntN(5))
+			for i := range list {
+				b := make([]byte, rng.IntN(40))
+				for j := range b {
+					b[j] = byte(rng.IntN(256))
+				}
+				if i == 0 {
+					b = []byte("CMD")
+				}
+				list[i] = string(b)
+			}
+			if rng.IntN(4) == 0 {
+				w.Buf = append(w.Buf, "INLINE one \"two words\" 'three'\r\n"...)
+				continue
+			}
+			w.Command(list...)
+		}
+		other := redcon.NewReader(bytes.NewReader(w.Buf))
+		mine := NewReader(&cutReader{bytes.NewReader(w.Buf), rng}, bounds)
+		for n := 0; ; n++ {
+			want, err := other.ReadCommand()
+			got, _, mineErr := mine.Command(nil, nil)
+			if err != nil {
+				if mineErr == nil {
+					t.Fatalf("seed %d: one more command %q", seed, words(got))
+				}
+				break
+			}
+			if mineErr != nil || !reflect.DeepEqual(words(got), words(want.Args)) {
+				t.Fatalf("seed %d, command %d: %q, %v; want %q", seed, n, words(got), mineErr, words(want.Args))
+			}
+		}
+	}
+}
+
+// cutReader gives what it reads in pieces.
+type cutReader struct {
+	r   io.Reader
+	rng *rand.Rand
+}
+
+func (c *cutReader) Read(p []byte) (int, error) { return c.r.Read(p[:min(len(p), 1+c.rng.IntN(9))]) }
+
+// Whatever comes, a command is within bounds, and what was read is never more than came.
+func FuzzCommand(f *testing.F) {
+	for _, seed := range []string{"*2\r\n$4\r\nECHO\r\n$1\r\na\r\n", "PING\r\n", "*1000000000\r\n", "*1\r\n$-5\r\n", "echo \"\\x4", "*-1\r\n*1\r\n$1\r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text), bounds)
+		for {
+			args, buf, err := r.Command(nil, nil)
+			if err != nil {
+				return
+			}
+			if len(args) > bounds.Args || len(buf) > bounds.Total {
+				t.Fatalf("%d words of %d bytes", len(args), len(buf))
+			}
+		}
+	})
+}
+
+// Whatever comes, a reply is within bounds.
+func FuzzReply(f *testing.F) {
+	for _, seed := range []string{"+OK\r\n", "*2\r\n:1\r\n$1\r\na\r\n", "%1\r\n+a\r\n#t\r\n", ">2\r\n+a\r\n_\r\n", ",inf\r\n", "=5\r\ntxt:a\r\n", "*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n:1\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text), bounds)
+		for {
+			if _, err := r.Reply(); err != nil {
+				return
+			}
+		}
+	})
+}
+
+func BenchmarkCommand(b *testing.B) {
+	var w Writer
+	for range 64 {
+		w.Command("LIMIT.TAKE", "0000000000000001", "1", "PLAN", "basic")
+	}
+	b.Run("own", func(b *testing.B) {
+		var args [][]byte
+		var text []byte
+		src := bytes.NewReader(nil)
+		r := NewReader(src, bounds)
+		for b.Loop() {
+			src.Reset(w.Buf)
+			r.Reset(src)
+			text = text[:0]
+			for range 64 {
+				args, text, _ = r.Command(args[:0], text)
+			}
+		}
+	})
+	b.Run("redcon", func(b *testing.B) {
+		for b.Loop() {
+			r := redcon.NewReader(bufio.NewReader(bytes.NewReader(w.Buf)))
+			for range 64 {
+				r.ReadCommand()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/respfront/session.go
@@ -0,0 +1,215 @@
+package respfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"linnetbend/internal/owner"
+	"linnetbend/internal/resp"
+)
+
+// session is one connection: who its client is, and the replies that it is owed,
+// in order.
+type session struct {
+	front   *Front
+	raw     net.Conn // below TLS
+	conn    net.Conn
+	id      int64
+	version int
+	name    string
+	user    *User
+	ending  bool // after the replies that are owed
+
+	b      *buffers
+	slots  []*slot
+	checks []*owner.Check // of the slots that are not handed on yet
+	batch  *batch
+	ctx    context.Context // the front's, for a command that has to settle what is before it
+	now    replies         // being written for the present command
+	broken bool            // the client has gone, or takes nothing
+}
+
+// w is where the present command's reply is written; said must follow.
+func (s *session) w() *replies {
+	s.now = replies{Version: s.version}
+	return &s.now
+}
+
+// said takes the reply that w was given.
+func (s *session) said() { s.slots = append(s.slots, &slot{text: s.now.Buf}) }
+
+func (s *session) fail(text string) {
+	s.w().Error(text)
+	s.said()
+}
+
+// ask hands a limit command to the desk, with the next batch.
+func (s *session) ask(q ask, reply func(*replies, *slot)) {
+	if s.batch == nil {
+		s.batch = &batch{done: make(chan struct{}, 1)}
+	}
+	r := &slot{ask: q, reply: reply, version: s.version, batch: s.batch}
+	s.batch.left++
+	s.front.desk.prepare(r)
+	s.slots = append(s.slots, r)
+	s.checks = append(s.checks, &r.check)
+}
+
+// run answers commands until the connection ends or ctx does.
+func (s *session) run(ctx context.Context) {
+	s.ctx = ctx
+	defer s.putBack()
+	for !s.ending && !s.broken {
+		s.conn.SetReadDeadline(time.Now().Add(s.front.idle))
+		if ctx.Err() != nil {
+			return // looked at after the deadline is set: the front sets an earlier one at its end
+		}
+		if (s.b == nil || s.b.reader.Buffered() == 0) && !s.rest() {
+			return
+		}
+		if s.b == nil {
+			s.b = s.front.buffers.Get().(*buffers)
+			s.b.reader.Reset(s.conn)
+		}
+		err := s.pipeline()
+		if err != nil && errors.Is(err, resp.ErrProtocol) {
+			s.fail("ERR " + err.Error())
+		}
+		s.settle(ctx)
+		s.flush()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// rest waits for the next command. A plain connection keeps no buffer meanwhile.
+func (s *session) rest() bool {
+	if s.conn != s.raw {
+		return true // TLS may hold bytes of its own; the read waits
+	}
+	s.putBack()
+	sc, ok := s.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+			return false
+		}
+		ready = n > 0
+		return true
+	})
+	return err == nil && ready
+}
+
+func (s *session) putBack() {
+	if s.b == nil {
+		return
+	}
+	s.b.reader.Reset(nil)
+	s.b.text, s.b.out = s.b.text[:0], s.b.out[:0]
+	s.front.buffers.Put(s.b)
+	s.b = nil
+}
+
+// pipeline reads the commands that have come whole, as many as a batch holds. The
+// first may still be on its way.
+func (s *session) pipeline() error {
+	var args [][]byte
+	for n := 0; n < mostBatch && !s.ending && (n == 0 || s.b.reader.Ready()); n++ {
+		var err error
+		if args, s.b.text, err = s.b.reader.Command(args[:0], s.b.text[:0]); err != nil {
+			return err
+		}
+		if len(args) > 0 {
+			s.dispatch(args)
+		}
+	}
+	return nil
+}
+
+// settle hands the limit commands on in one message and waits for their answers, at
+// the front's end for a moment.
+// Danger: a client that leaves while one waits for units must not have them taken.
+func (s *session) settle(ctx context.Context) {
+	if s.batch == nil {
+		return
+	}
+	if !s.front.desk.owner.Post(owner.Batch{Owner: s.front.desk.owner, Checks: s.checks}) {
+		s.broken = true
+	}
+	look := time.NewTimer(goneLook)
+	defer look.Stop()
+	for waits := !s.broken; waits; {
+		select {
+		case <-s.batch.done:
+			waits = false
+		case <-s.front.desk.owner.Stopped():
+			s.broken, waits = true, false
+		case <-look.C:
+			if look.Reset(goneLook); gone(s.raw) || ctx.Err() != nil {
+				s.front.desk.owner.Post(leaving{s.front.desk, s.slots})
+				s.broken, waits = true, false
+			}
+		}
+	}
+	s.batch, s.checks = nil, nil
+}
+
+// flush writes the replies that are owed. What a batch left undecided is not read:
+// its connection ends.
+func (s *session) flush() {
+	if s.broken {
+		s.slots = nil
+		return
+	}
+	w := replies{Buf: s.b.out[:0]}
+	for _, r := range s.slots {
+		switch {
+		case r.reply == nil:
+			w.Buf = append(w.Buf, r.text...)
+		case r.err != nil:
+			w.Error("ERR " + r.err.Error())
+		default:
+			w.Version = r.version
+			r.reply(&w, r)
+		}
+	}
+	s.slots = s.slots[:0]
+	s.b.out = w.Buf
+	s.conn.SetWriteDeadline(time.Now().Add(sendWait))
+	if _, err := s.conn.Write(w.Buf); err != nil {
+		s.broken = true
+	}
+}
+
+// gone tells whether the other side has ended the connection. What it sent before
+// may still be there, unread.
+func gone(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	over := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		over = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	})
+	return err != nil || over
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,7 +6,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
+	"time"
 
 	"linnetbend/internal/strict"
 )
@@ -16,6 +19,51 @@
 type Settings struct {
 	Clients Clients `toml:"clients" doc:"connections of clients"`
 	Memory  Memory  `toml:"memory" doc:"how the memory limit is used"`
+	Quotas  Quotas  `toml:"quotas" doc:"who draws on the quotas"`
+	Counter Counter `toml:"counter" doc:"the shared counter"`
+	RESP    RESP    `toml:"resp" doc:"limit commands over RESP"`
+}
+
+// Quotas tells who else draws on them.
+type Quotas struct {
+	Fronts int `toml:"fronts" doc:"processes beside the gateways that grant units of any account, such as agents with a RESP front; local shares are divided among them too, so it is the same in all of them; 0 to 64, default 0"`
+}
+
+// Counter says what the shared counter is.
+type Counter struct {
+	Kind     string `toml:"kind" doc:"http, the platform's counter, or resp, a store that speaks RESP; default http"`
+	User     string `toml:"user" doc:"user of the RESP store; default none"`
+	Password string `toml:"password" doc:"its password; default none, and no AUTH is sent"`
+	CA       string `toml:"ca" doc:"certificate of the authority that the RESP store's is checked against; default none, a plain connection"`
+	Name     string `toml:"name" doc:"name in the RESP store's certificate; default the host of its address"`
+	Prefix   string `toml:"prefix" doc:"what its names begin with in the RESP store; default elderyard:"`
+}
+
+// RESP is the front for limit commands.
+type RESP struct {
+	Listen  string          `toml:"listen" doc:"address for limit commands; default none, no front"`
+	Most    int             `toml:"most_clients" doc:"connections at most; 1 to 100000, default 64"`
+	Idle    strict.Duration `toml:"idle" doc:"a connection without a command for so long is closed; 1s to 24h, default 5m"`
+	Cert    string          `toml:"cert" doc:"certificate of the front; default none, a plain connection"`
+	Key     string          `toml:"key" doc:"its key"`
+	CA      string          `toml:"ca" doc:"authority that clients' certificates must come from; default none, they need none"`
+	Plan    string          `toml:"plan" doc:"plan of accounts that are not named here; default none: they say it with PLAN"`
+	Account []RESPAccount   `toml:"account" doc:"the plans of accounts"`
+	User    []RESPUser      `toml:"user" doc:"who may connect; none: whoever reaches the address, for all accounts"`
+}
+
+// RESPAccount is the plan of one account.
+type RESPAccount struct {
+	ID   string `toml:"id" doc:"the account, 16 hexadecimal digits"`
+	Plan string `toml:"plan" doc:"its plan"`
+}
+
+// RESPUser is one user.
+type RESPUser struct {
+	Name     string   `toml:"name" doc:"its name"`
+	Password string   `toml:"password_sha256" doc:"SHA-256 of its password, 64 hexadecimal digits"`
+	Accounts []string `toml:"accounts" doc:"accounts that it may ask for, or * for all"`
+	Commands []string `toml:"commands" doc:"limit commands that it may run, or * for all"`
 }
 
 // Clients bounds what clients may hold.
@@ -32,7 +80,8 @@
 
 // Defaults are the settings of a gateway without the file.
 func Defaults() Settings {
-	return Settings{Clients: Clients{SocketShare: 0.75, MemoryShare: 0.25}, Memory: Memory{HeapShare: 0.7, HeapGrow: 400}}
+	return Settings{Clients: Clients{SocketShare: 0.75, MemoryShare: 0.25}, Memory: Memory{HeapShare: 0.7, HeapGrow: 400},
+		Counter: Counter{Kind: "http", Prefix: "elderyard:"}, RESP: RESP{Most: 64, Idle: strict.Duration(5 * time.Minute)}}
 }
 
 // Read reads the file at path. Where there is none, the defaults hold.
@@ -62,13 +111,70 @@
 		{"clients.memory_share", s.Clients.MemoryShare, 0.05, 0.5},
 		{"memory.heap_share", s.Memory.HeapShare, 0.3, 0.9},
 		{"memory.heap_grow", float64(s.Memory.HeapGrow), 50, 1000},
+		{"quotas.fronts", float64(s.Quotas.Fronts), 0, 64},
+		{"resp.most_clients", float64(s.RESP.Most), 1, 100000},
+		{"resp.idle", time.Duration(s.RESP.Idle).Seconds(), 1, 24 * 3600},
 	} {
 		if !(r.value >= r.least && r.value <= r.most) {
 			return Settings{}, strict.At(file, text, r.key, "%g is not between %g and %g", r.value, r.least, r.most)
 		}
 	}
+	if key, err := s.check(); err != nil {
+		return Settings{}, strict.At(file, text, key, "%v", err)
+	}
 	return s, nil
 }
 
+// check finds what no range tells, with the key that it stands at.
+func (s *Settings) check() (key string, err error) {
+	r, k := &s.RESP, &s.Counter
+	switch {
+	case k.Kind != "http" && k.Kind != "resp":
+		return "counter.kind", fmt.Errorf("%q is neither http nor resp", k.Kind)
+	case k.User != "" && k.Password == "":
+		return "counter.user", errors.New("a user needs a password")
+	case len(k.Prefix) > 64:
+		return "counter.prefix", errors.New("it is longer than 64 bytes")
+	case (r.Cert == "") != (r.Key == ""):
+		return "resp.cert", errors.New("cert and key go together")
+	case r.CA != "" && r.Cert == "":
+		return "resp.ca", errors.New("it needs cert and key")
+	}
+	if r.Listen != "" {
+		if _, _, err := net.SplitHostPort(r.Listen); err != nil {
+			return "resp.listen", fmt.Errorf("%q is not an address with a port", r.Listen)
+		}
+	}
+	seen := map[string]bool{}
+	for i, a := range r.Account {
+		if _, err := AccountID(a.ID); err != nil || seen[a.ID] {
+			return fmt.Sprintf("resp.account[%d].id", i), fmt.Errorf("%q is not 16 hexadecimal digits below 0000000200000000, or stands twice", a.ID)
+		}
+		seen[a.ID] = true
+	}
+	clear(seen)
+	for i, u := range r.User {
+		if u.Name == "" || seen[u.Name] {
+			return fmt.Sprintf("resp.user[%d].name", i), fmt.Errorf("%q is empty or stands twice", u.Name)
+		}
+		seen[u.Name] = true
+		for _, id := range u.Accounts {
+			if _, err := AccountID(id); err != nil && id != "*" {
+				return fmt.Sprintf("resp.user[%d].accounts", i), fmt.Errorf("%q is neither an account nor *", id)
+			}
+		}
+	}
+	return "", nil
+}
+
+// AccountID reads an account's number.
+func AccountID(text string) (uint64, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != 16 || n >= 1<<33 {
+		return 0, fmt.Errorf("%q is not an account", text)
+	}
+	return n, nil
+}
+
 // Keys lists every key of the file with what it means.
 func Keys() [][2]string { return strict.Keys(Settings{}) }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -10,7 +11,7 @@
 func TestNoFileAndEmptyFileAreTheDefaults(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "site.toml")
 	for range 2 {
-		if s, err := Read(path); err != nil || s != Defaults() {
+		if s, err := Read(path); err != nil || !reflect.DeepEqual(s, Defaults()) {
 			t.Fatalf("%+v %v", s, err)
 		}
 		if err := os.WriteFile(path, []byte("# nothing\n"), 0o600); err != nil {
@@ -23,7 +24,7 @@
 }
 
 func TestTheFileThatShipsIsValidAndChangesNothing(t *testing.T) {
-	if s, err := Read("../../deploy/site.toml"); err != nil || s != Defaults() {
+	if s, err := Read("../../deploy/site.toml"); err != nil || !reflect.DeepEqual(s, Defaults()) {
 		t.Fatalf("%+v %v", s, err)
 	}
 }
--- a/rules/checks.go
+++ b/rules/checks.go
@@ -51,6 +51,14 @@
 	g.do(a)
 }
 
+// least is how many units a request or check will do with.
+func (j *job) least() float64 {
+	if j.partial {
+		return min(j.Units, 1)
+	}
+	return j.Units
+}
+
 // part grants a partial check what there is, in whole units.
 func (g *Gateway) part(j *job) {
 	c, units, shared := j.customer, 0.0, true
@@ -105,6 +113,7 @@
 		if c.window == e.Window && e.Units > 0 {
 			back = min(e.Units, c.terms.allowance)
 			c.owed -= back
+			c.dryUntil = 0
 			c.takeLocal(g.now, 0)
 			c.local = min(c.local+back, c.terms.localBurst)
 		}
--- a/rules/checks_test.go
+++ b/rules/checks_test.go
@@ -275,3 +275,23 @@
 		}
 	}
 }
+
+// Takes of several units strand none: what does not fit one goes to smaller ones at
+// once, a lease's remainder is back at the counter, and what is given back can be had.
+func TestTakesOfSeveralUnitsStrandNothing(t *testing.T) {
+	set := testSettings()
+	set.Plans[0].Rate, set.Plans[0].Burst = 1e-3, 5
+	s := store{}
+	d, other := start(t, set, some(1)...), start(t, set, some(1)...)
+	a, _ := d.take(s, 5, 4, nil)
+	if b, _ := other.take(s, 5, 4, nil); b.Granted != 0 {
+		t.Errorf("4 and 4 of 5: %+v", b)
+	}
+	if b, _ := other.take(s, 5, 1, nil); b.Granted != 1 {
+		t.Errorf("the one that is left, after a take of 4 was refused: %+v", b)
+	}
+	s.answer(d, d.handle(Give{ID: 98, Customer: 5, Gateways: 2, Units: 4, Window: a.Window}))
+	if b, _ := d.take(s, 5, 4, nil); b.Granted != 4 {
+		t.Errorf("what was given back: %+v", b)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -813,7 +813,7 @@
 				g.spend(c, j.Units)
 			case c.asking > 0:
 				return
-			case g.now < c.dryUntil:
+			case g.now < c.dryUntil && j.least() >= c.dryFor:
 				if !g.later(j, c.dryUntil) {
 					g.giveBack(j)
 				}
@@ -1084,15 +1084,17 @@
 		target -= back
 	}
 	unit := 1.0
-	if len(c.waiting) > 0 {
+	if len(c.waiting) > 0 && !c.waiting[0].partial {
 		unit = max(c.waiting[0].Units, 1e-3)
 	}
-	avail := c.terms.allowance - (target - k.floor)
-	grant := max(min(k.units, math.Floor(avail/unit+1e-3)*unit), 0)
+	avail, held := c.terms.allowance-(target-k.floor), max(c.units, 0)
+	grant := max(min(k.units, math.Floor((avail+held)/unit+1e-3)*unit-held), 0)
 	if grant < k.units {
 		// Danger: another gateway may be about to take back what it wrote off twice; until it has, the store
 		// looks emptier than it is.
-		short := min(2*unit-avail+grant, dryMost*unit)
+		more := min(unit, 1)
+		short := min(unit+more-avail-held+grant, unit+(dryMost-1)*more)
+		c.dryFor = unit
 		c.dryUntil = g.now + max(short/max(c.terms.rate, 1e-3), g.set.Tick)
 		if !c.terms.exact {
 			c.dryUntil = (k.window + 1 - c.phase()) * c.terms.window
@@ -1106,7 +1108,7 @@
 		c.known = target + grant
 	}
 	c.met = true
-	if more := target + grant - total; c.terms.exact && math.Abs(more) > refundLeast*unit {
+	if more := target + grant - total; c.terms.exact && math.Abs(more) > refundLeast*min(unit, 1) {
 		// Less, or what an emptied counter lost.
 		g.count(call{customer: c, name: k.name, window: k.window, fill: more}, nameKeep)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -141,6 +141,7 @@
 	known          float64 // the window's total as last seen
 	met            bool    // the counter has told of it
 	dryUntil       float64
+	dryFor         float64 // units: fewer may still be there
 	excess         float64
 	owed           float64 // spent in this window and not told
 	doubt          float64 // of this window's calls that may have been added, and of what they were to take back
