Serve limit commands from the agent, by what its instance runs with

Need: apps ask the machine's agent for units; it must go by the same plans and counter as the gateways, and the gateways must count it in the division of local shares.

Change. [resp] in the agent's file; the front follows its first instance's files, so it knows them after a restart and without a leader. A revision that does not count the front (site.quotas.fronts) gets none, with the reason in the log. Measured: the front comes with the revision that counts it, changes with the next, is back after the agent's restart.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -144,6 +144,10 @@
 		wg.Go(func() { p.run(inner) })
 	}
 	wg.Go(func() { a.report(inner) })
+	if c.RESP.Listen != "" {
+		limits := &limitFront{a: a, instance: c.Instances[0].Name}
+		wg.Go(func() { limits.run(inner) })
+	}
 	o.Log.Info("agent", "name", c.Name, "listen", c.Advertise, "socket", c.Socket, "voter", c.Voter, "instances", len(a.processes))
 	var broken <-chan struct{}
 	if a.store != nil {
--- a/internal/agent/agent_linux_test.go
+++ b/internal/agent/agent_linux_test.go
@@ -427,7 +427,7 @@
 }
 
 // site starts three voters and an agent that only follows, each with one gateway.
-func site(t *testing.T) (list []*machine) {
+func newSite(t *testing.T) (list []*machine) {
 	t.Helper()
 	first := newMachine(t, "a0", true, nil, instances(t, "g0")...).start()
 	list = append(list, first)
@@ -462,7 +462,7 @@
 
 func TestTheLeaderDiesInARollout(t *testing.T) {
 	t.Parallel()
-	list := site(t)
+	list := newSite(t)
 	list[3].apply("1", 0, file(fine, "basic"))
 	list[3].is(list[3].ended(1), rollout.Applied, 1)
 	leader, rest := leaderOf(list)
@@ -578,7 +578,7 @@
 
 func TestTwoOperatorsThroughTwoAgents(t *testing.T) {
 	t.Parallel()
-	list := site(t)
+	list := newSite(t)
 	list[0].apply("1", 0, file(fine, "basic"))
 	list[0].ended(1)
 	answers := make(chan Applied, 2)
@@ -600,7 +600,7 @@
 
 func TestCutOffAgentsServeAndSaySo(t *testing.T) {
 	t.Parallel()
-	list := site(t)
+	list := newSite(t)
 	list[0].apply("1", 0, file(fine, "basic"))
 	before := pids(list[0].ended(1))
 	m := list[0]
@@ -775,3 +775,58 @@
 		return err == nil && len(log.Refused) >= 3 && strings.Contains(fmt.Sprint(log.Refused), "no certificate of this site")
 	})
 }
+
+// limits says a line to an agent's limit commands and returns the whole reply, "" for none.
+func limits(address, line string) string {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(conn, "%s\r\nQUIT\r\n", line)
+	text, _ := io.ReadAll(conn)
+	return string(text)
+}
+
+// An agent's limit commands go by what its instance runs with: they come with the
+// first revision that counts them, change with the next, and outlive the agent's restart.
+func TestLimitCommandsFollowTheRevision(t *testing.T) {
+	t.Parallel()
+	m := newMachine(t, "a1", true, nil, instances(t, "g0")...)
+	l, err := net.Listen("tcp", host()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.config.RESP.Listen = l.Addr().String()
+	l.Close()
+	m.start()
+	at := m.config.RESP.Listen
+	m.apply("1", 0, file(fine, "basic"))
+	m.ended(1)
+	if got := limits(at, "PING"); got != "" {
+		t.Fatalf("served although the gateways don't count this front: %q", got)
+	}
+	counted := "\n[site.quotas]\nfronts = 1\n"
+	m.apply("2", 1, file(fine, "basic")+counted)
+	m.ended(2)
+	until(t, "the plan of the second revision", func() bool {
+		return strings.Contains(limits(at, "LIMIT.PLAN 0000000000000001 PLAN basic"), "units_per_s")
+	})
+	if got := limits(at, "LIMIT.TAKE 0000000000000001 1 PLAN basic"); !strings.Contains(got, "granted\r\n$1\r\n1\r\n") || !strings.Contains(got, "local") {
+		t.Errorf("with no counter there: %q", got)
+	}
+	m.apply("3", 2, file(fine, "gold")+counted)
+	m.ended(3)
+	until(t, "the plan of the third", func() bool {
+		return strings.Contains(limits(at, "LIMIT.PLAN 0000000000000001 PLAN basic"), `there is no plan "basic"; there are gold`)
+	})
+	m.end()
+	if got := limits(at, "PING"); got != "" {
+		t.Errorf("served by an agent that has ended: %q", got)
+	}
+	m.start()
+	until(t, "the plan after a restart", func() bool {
+		return strings.Contains(limits(at, "LIMIT.PLAN 0000000000000001 PLAN gold"), "units_per_s")
+	})
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -17,6 +17,7 @@
 
 	"linnetbend/fleet"
 	"linnetbend/internal/pki"
+	"linnetbend/internal/site"
 	"linnetbend/internal/strict"
 	"linnetbend/supervise"
 )
@@ -35,6 +36,7 @@
 	ServiceFrom string          `toml:"service_from" doc:"URL that answers the site's level of service, a number from 0 to 1, for the rollouts' service_fall; voters read it while they lead"`
 	TLS         TLS             `toml:"tls" doc:"certificates"`
 	Timing      Timing          `toml:"timing" doc:"what a site may want shorter or longer"`
+	RESP        site.RESP       `toml:"resp" doc:"limit commands over RESP, with the plans and the counter of this machine's first instance by name; each such front is counted in the revision's site.quotas.fronts"`
 	Instances   []InstanceEntry `toml:"instance" doc:"the gateways of this machine"`
 }
 
@@ -69,7 +71,7 @@
 
 func defaults() Config {
 	d := func(d time.Duration) strict.Duration { return strict.Duration(d) }
-	return Config{Timing: Timing{Report: d(2 * time.Second), FetchWithin: d(15 * time.Second), Heartbeat: d(time.Second), Settle: d(10 * time.Second),
+	return Config{RESP: site.Defaults().RESP, Timing: Timing{Report: d(2 * time.Second), FetchWithin: d(15 * time.Second), Heartbeat: d(time.Second), Settle: d(10 * time.Second),
 		FirstPause: d(500 * time.Millisecond), MostPause: d(30 * time.Second), CalmAfter: d(time.Minute), KillMargin: d(2 * time.Second)}}
 }
 
@@ -94,7 +96,7 @@
 	if err != nil {
 		return Config{}, err
 	}
-	for _, p := range []*string{&c.Dir, &c.Socket, &c.Gateway, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key} {
+	for _, p := range []*string{&c.Dir, &c.Socket, &c.Gateway, &c.TLS.CA, &c.TLS.Cert, &c.TLS.Key, &c.RESP.CA, &c.RESP.Cert, &c.RESP.Key} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(home, *p)
 		}
@@ -186,6 +188,12 @@
 			}
 		}
 	}
+	if key, err := c.RESP.Check(); err != nil {
+		return key, err
+	}
+	if c.RESP.Listen != "" && len(c.Instances) == 0 {
+		return "resp.listen", errors.New("limit commands need an instance on this machine, whose plans and counter they go by")
+	}
 	p := c.supervision()
 	if err := p.Validate(); err != nil {
 		return "timing", err
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -112,8 +112,6 @@
 		{"memory.heap_share", s.Memory.HeapShare, 0.3, 0.9},
 		{"memory.heap_grow", float64(s.Memory.HeapGrow), 50, 1000},
 		{"quotas.fronts", float64(s.Quotas.Fronts), 0, 64},
-		{"resp.most_clients", float64(s.RESP.Most), 1, 100000},
-		{"resp.idle", time.Duration(s.RESP.Idle).Seconds(), 1, 24 * 3600},
 	} {
 		if !(r.value >= r.least && r.value <= r.most) {
 			return Settings{}, strict.At(file, text, r.key, "%g is not between %g and %g", r.value, r.least, r.most)
@@ -127,7 +125,7 @@
 
 // check finds what no range tells, with the key that it stands at.
 func (s *Settings) check() (key string, err error) {
-	r, k := &s.RESP, &s.Counter
+	k := &s.Counter
 	switch {
 	case k.Kind != "http" && k.Kind != "resp":
 		return "counter.kind", fmt.Errorf("%q is neither http nor resp", k.Kind)
@@ -135,6 +133,18 @@
 		return "counter.user", errors.New("a user needs a password")
 	case len(k.Prefix) > 64:
 		return "counter.prefix", errors.New("it is longer than 64 bytes")
+	}
+	return s.RESP.Check()
+}
+
+// Check finds what is wrong with the settings of a front, with the key that it
+// stands at, which begins with "resp".
+func (r *RESP) Check() (key string, err error) {
+	switch {
+	case r.Most < 1 || r.Most > 100000:
+		return "resp.most_clients", fmt.Errorf("%d is not between 1 and 100000", r.Most)
+	case time.Duration(r.Idle) < time.Second || time.Duration(r.Idle) > 24*time.Hour:
+		return "resp.idle", fmt.Errorf("%v is not between 1s and 24h", time.Duration(r.Idle))
 	case (r.Cert == "") != (r.Key == ""):
 		return "resp.cert", errors.New("cert and key go together")
 	case r.CA != "" && r.Cert == "":
