--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -75,8 +76,16 @@
 // line takes in bytes of a head, to the end of the present line at most, and
 // returns how many.
 func (g *guard) line(p []byte) int {
-	for i, b := range p {
+	for i := 0; i < len(p); i++ {
+		b := p[i]
 		switch {
+		case g.part == lineValue && g.kind == otherLine && b != '\n':
+			// Nothing of such a line matters but its end: most of all bytes are passed over here.
+			end := bytes.IndexByte(p[i:], '\n')
+			if end < 0 {
+				return len(p)
+			}
+			i += end - 1
 		case b == '\n':
 			if g.part == lineStart || g.part == lineName && g.named == 0 {
 				g.headEnd()
@@ -91,6 +100,8 @@
 				g.taint()
 			}
 		case g.part == lineStart && b == '\r':
+		case g.part == lineStart && b|0x20 != 'c' && b|0x20 != 't':
+			g.part, g.kind = lineValue, otherLine // neither of the two kinds begins so
 		case g.part == lineStart, g.part == lineName && b != ':':
 			g.part = lineName
 			if g.named < mostGuarded {
--- a/internal/owner/checks.go
+++ b/internal/owner/checks.go
@@ -27,6 +27,8 @@
 
 // Take asks the module.
 func (b Batch) Take() {
+	b.Owner.moment = b.Owner.Clock.Now() // one for all of them
+	defer func() { b.Owner.moment = 0 }()
 	for _, c := range b.Checks {
 		id := b.Owner.NewID()
 		if ev := c.Ask(id); ev != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,6 +52,7 @@
 
 	nextID  rules.RequestID
 	checks  map[rules.RequestID]*Check // not answered yet
+	moment  float64                    // of the batch that is being handed over; 0: none is
 	asking  *Check                     // whose event the module has just now; nil: none
 	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
 	timers  timerHeap
@@ -127,6 +128,15 @@
 	return o.nextID
 }
 
+// Now is the time at which the module is asked. Only messages and actions may call
+// it.
+func (o *Owner) Now() float64 {
+	if o.moment != 0 {
+		return o.moment
+	}
+	return o.Clock.Now()
+}
+
 // live tells whether a request or check is out.
 func (o *Owner) live(id rules.RequestID) bool {
 	if _, waits := o.checks[id]; waits {
@@ -143,7 +153,7 @@
 		return // an outer call is at it
 	}
 	for n := 0; n < len(o.pending); n++ {
-		o.actions = o.gateway.Handle(o.Clock.Now(), o.pending[n], o.actions[:0])
+		o.actions = o.gateway.Handle(o.Now(), o.pending[n], o.actions[:0])
 		o.act(o.actions)
 	}
 	clear(o.pending)
--- a/internal/respfront/desk.go
+++ b/internal/respfront/desk.go
@@ -147,6 +147,7 @@
 	ask      ask
 	check    owner.Check
 	batch    *batch
+	event    rules.Check // of a take
 	answer   rules.Checked
 	repeated bool
 	err      error
@@ -172,7 +173,7 @@
 // Ask makes the slot's event, or answers it from the ledger.
 func (s *slot) Ask(id rules.RequestID) rules.Event {
 	d, q := s.desk, &s.ask
-	now := d.owner.Clock.Now()
+	now := d.owner.Now()
 	switch {
 	case q.peek:
 		d.stats.peeks.Add(1)
@@ -206,8 +207,9 @@
 	if wait < 0 {
 		wait = d.patience
 	}
-	return rules.Check{ID: id, Customer: rules.CustomerID(q.account), Plan: q.plan, Units: q.units, FirstPeer: q.first,
+	s.event = rules.Check{ID: id, Customer: rules.CustomerID(q.account), Plan: q.plan, Units: q.units, FirstPeer: q.first,
 		Gateways: q.spread, Deadline: now + wait, Partial: q.partial}
+	return &s.event
 }
 
 // Answered takes the module's answer.
@@ -238,7 +240,7 @@
 	if q.token == "" {
 		return
 	}
-	d.ledger.Decide(q.account, q.token, limits.Answer{Granted: a.Granted, Window: a.Window, Shared: a.Shared}, d.owner.Clock.Now())
+	d.ledger.Decide(q.account, q.token, limits.Answer{Granted: a.Granted, Window: a.Window, Shared: a.Shared}, d.owner.Now())
 	key := q.key()
 	for _, s := range d.waiting[key] {
 		d.stats.repeats.Add(1)
--- a/internal/respfront/front_test.go
+++ b/internal/respfront/front_test.go
@@ -203,7 +203,7 @@
 		{"LIMIT.TAKE " + basic + " 2", "[granted 2 remaining 3 exact 1 source shared retry_after_ms 0 reset_after_ms"},
 		{"LIMIT.PEEK " + basic, "[remaining 3 exact 1 reset_after_ms"},
 		{"LIMIT.TAKE " + basic + " 6", "-ERR 6 units are more than plan basic ever has at once, which is 5"},
-		{"LIMIT.TAKE " + basic + " 4", "[granted 0 remaining 3 exact 1 source local retry_after_ms"},
+		{"LIMIT.TAKE " + basic + " 4", "[granted 0 remaining 3 exact 1 source none retry_after_ms"},
 		{"LIMIT.TAKE " + basic + " 4 PARTIAL", "[granted 3 remaining 0 exact 1 source shared"},
 		{"LIMIT.TAKE " + basic + " 0", "-ERR units '0'"}, {"LIMIT.TAKE " + basic + " nan", "-ERR units 'nan'"}, {"LIMIT.TAKE " + basic + " -1", "-ERR units"},
 		{"LIMIT.TAKE " + basic + " 1e300", "-ERR units"}, {"LIMIT.TAKE x 1", "-ERR account 'x' is not"}, {"LIMIT.TAKE ffffffffffffffff 1", "-ERR account"},
@@ -236,7 +236,7 @@
 	one, two := r.talk(t), r.talk(t)
 	// Take and give in one pipeline: the take is decided before the give is looked at.
 	got := one.say("LIMIT.TAKE "+basic+" 4 ID a", "LIMIT.GIVE "+basic+" 4 ID a", "LIMIT.TAKE "+basic+" 5 ID b")
-	if !strings.HasPrefix(got[0], "[granted 4 remaining 1") || !strings.HasPrefix(got[1], "[given 4") || !strings.HasPrefix(got[2], "[granted 5") {
+	if !strings.HasPrefix(got[0], "[granted 4 remaining 1") || !strings.HasPrefix(got[1], "[given 4 remaining 5") || !strings.HasPrefix(got[2], "[granted 5") {
 		t.Fatalf("%q", got)
 	}
 	for i, step := range [][2]string{
--- a/internal/respfront/limit.go
+++ b/internal/respfront/limit.go
@@ -22,6 +22,7 @@
 	wordGranted      = resp.MakeNamed("granted")
 	wordSource       = resp.MakeNamed("source")
 	wordShared       = resp.MakeNamed("shared")
+	wordNone         = resp.MakeNamed("none")
 	wordLocal        = resp.MakeNamed("local")
 	wordRetryAfterMs = resp.MakeNamed("retry_after_ms")
 	wordResetAfterMs = resp.MakeNamed("reset_after_ms")
@@ -157,9 +158,12 @@
 		w.Double(a.Granted)
 		known(w, a)
 		w.Name(wordSource)
-		if a.Shared {
+		switch {
+		case a.Granted == 0:
+			w.Name(wordNone)
+		case a.Shared:
 			w.Name(wordShared)
-		} else {
+		default:
 			w.Name(wordLocal)
 		}
 		w.Name(wordRetryAfterMs)
--- a/rules/checks.go
+++ b/rules/checks.go
@@ -93,9 +93,9 @@
 	c.takeLocal(g.now, 0)
 	a := Checked{Window: c.window, Remaining: max(c.local, 0)}
 	if g.set.Counter && c.known > 0 && g.now >= c.restTill {
-		// The total as last seen; others may have taken more since.
+		// The total as last seen, with what it has not been told yet; others may have taken more since.
 		a.Exact = true
-		a.Remaining = min(max(t.allowance-max(c.known-floor, 0), 0)+max(c.units, 0), t.allowance)
+		a.Remaining = min(max(t.allowance-max(c.known+c.owed-floor, 0), 0)+max(c.units, 0), t.allowance)
 	}
 	a.ResetAfter = max(g.set.Plans[plan].Burst-a.Remaining, 0) / t.rate
 	return a
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -102,7 +102,9 @@
 
 // Handle takes one event and appends what is to be done about it.
 func (g *Gateway) Handle(now float64, ev Event, out []Action) []Action {
-	g.load += (1 - math.Exp((g.now-now)/loadSpan)) * (float64(g.inFlight) - g.load)
+	if now != g.now { // checks come many at a time
+		g.load += (1 - math.Exp((g.now-now)/loadSpan)) * (float64(g.inFlight) - g.load)
+	}
 	g.now, g.out = now, out
 	switch e := ev.(type) {
 	case Request:
@@ -127,6 +129,8 @@
 		g.backends(e)
 	case Check:
 		g.check(e)
+	case *Check: // whose storage its sender uses again
+		g.check(*e)
 	case Peek:
 		g.peek(e)
 	case Give:
@@ -792,7 +796,10 @@
 	fleet := max(g.set.Fleet, 1)
 	index := (g.set.Rank - r.FirstPeer + fleet) % fleet // this gateway's place in the customer's set
 	c.terms = g.terms(&g.set.Plans[r.Plan], r.Gateways, max(min(index, r.Gateways-1), 0))
-	c.demand = c.demand*math.Exp(-(g.now-c.seen)/demandSpan) + r.Units/demandSpan
+	if g.now != c.seen {
+		c.demand *= math.Exp(-(g.now - c.seen) / demandSpan)
+	}
+	c.demand += r.Units / demandSpan
 	c.seen = g.now
 	return c
 }
