Narrow a deaf client's window before it connects, and make one piece of what was written twice

Need: under load the test of a deaf client failed once of many runs. Its window was shrunk on an open connection, so each system dropped what the other told of its window, and the front waited for a command that was held back by that.

The receive buffer is set before the connection is made. Certificates of tests and the lines of waiting calls, which two clients of the counter had each, are one piece.

--- a/internal/counter/http.go
+++ b/internal/counter/http.go
@@ -73,6 +73,27 @@
 	return NewRESP(store), nil
 }
 
+// lines are the calls that wait. Those for one name stand in one line, so they go out
+// in order.
+type lines struct{ lanes [lanes]chan *Call }
+
+func newLines() (l lines) {
+	for i := range l.lanes {
+		l.lanes[i] = make(chan *Call, mostCalls)
+	}
+	return l
+}
+
+// Add hands a call over without waiting. It returns false where too many wait.
+func (c *lines) Add(k *Call) bool {
+	select {
+	case c.lanes[k.Name%lanes] <- k:
+		return true
+	default:
+		return false
+	}
+}
+
 // Call is one addition on the counter.
 type Call struct {
 	Name   uint64
@@ -101,17 +122,14 @@
 	address atomic.Pointer[string]
 	timeout time.Duration
 	trust   sockets.Trust
-	lanes   [lanes]chan *Call
+	lines
 	readers sync.WaitGroup // one for each connection
 }
 
 // NewHTTP calls the counter at address; one that takes longer than timeout to connect to has failed.
 func NewHTTP(address string, timeout time.Duration) *HTTP {
-	c := &HTTP{timeout: timeout}
+	c := &HTTP{timeout: timeout, lines: newLines()}
 	c.Move(address)
-	for i := range c.lanes {
-		c.lanes[i] = make(chan *Call, mostCalls)
-	}
 	return c
 }
 
@@ -119,16 +137,6 @@
 // may still be answered there.
 func (c *HTTP) Move(address string) { c.address.Store(&address) }
 
-// Add hands a call over without waiting. It returns false where too many wait.
-func (c *HTTP) Add(k *Call) bool {
-	select {
-	case c.lanes[k.Name%lanes] <- k:
-		return true
-	default:
-		return false
-	}
-}
-
 // Run keeps the lanes until ctx ends.
 func (c *HTTP) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/counter/resp.go
+++ b/internal/counter/resp.go
@@ -32,7 +32,7 @@
 type RESP struct {
 	store   Store
 	address atomic.Pointer[string]
-	lanes   [lanes]chan *Call
+	lines
 	readers sync.WaitGroup
 }
 
@@ -47,27 +47,14 @@
 
 // NewRESP calls a RESP store.
 func NewRESP(s Store) *RESP {
-	c := &RESP{store: s}
+	c := &RESP{store: s, lines: newLines()}
 	c.Move(s.Address)
-	for i := range c.lanes {
-		c.lanes[i] = make(chan *Call, mostCalls)
-	}
 	return c
 }
 
 // Move sends all further calls to another address.
 func (c *RESP) Move(address string) { c.address.Store(&address) }
 
-// Add hands a call over without waiting. It returns false where too many wait.
-func (c *RESP) Add(k *Call) bool {
-	select {
-	case c.lanes[k.Name%lanes] <- k:
-		return true
-	default:
-		return false
-	}
-}
-
 // Run keeps the lanes until ctx ends.
 func (c *RESP) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/counter/resp_test.go
+++ b/internal/counter/resp_test.go
@@ -2,13 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"math/big"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -167,33 +162,11 @@
 	}
 }
 
-// certificate makes one that signs itself.
-func certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parsed, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(parsed)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
-}
-
 // Over TLS and with a login calls go through; with a wrong password, or a
 // certificate of another authority, nothing is added and all is told.
 func TestStoreOverTLSWithLogin(t *testing.T) {
-	cert, pool := certificate(t)
-	_, others := certificate(t)
+	cert, pool := testpeer.Certificate(t)
+	_, others := testpeer.Certificate(t)
 	s := newStore(t, &tls.Config{Certificates: []tls.Certificate{cert}}, "secret")
 	for _, c := range []struct {
 		password string
--- a/internal/gateway/bulk_test.go
+++ b/internal/gateway/bulk_test.go
@@ -14,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"linnetbend/internal/testpeer"
 )
 
 // noise is a long body that is the same for the same seed.
@@ -126,12 +128,7 @@
 	runtime.ReadMemStats(&before)
 	var readers []*http.Response
 	for range transfers {
-		client, err := net.Dial("tcp", r.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		client.(*net.TCPConn).SetReadBuffer(64 << 10)
+		client := testpeer.DialNarrow(t, r.address, 64<<10)
 		client.SetDeadline(time.Now().Add(3 * patience))
 		io.WriteString(client, ask("GET", "lookup", ""))
 		conn, br := backend.Accept(t)
--- a/internal/respfront/front_test.go
+++ b/internal/respfront/front_test.go
@@ -388,8 +388,7 @@
 // connections holds.
 func TestBounds(t *testing.T) {
 	r := newRig(t, Settings{Most: 2})
-	deaf := r.talk(t)
-	deaf.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	deaf := testpeer.DialNarrow(t, r.address, 4<<10)
 	var w resp.Writer
 	for range 200 {
 		w.Command("ECHO", strings.Repeat("x", 4000))
--- a/internal/respfront/tls_test.go
+++ b/internal/respfront/tls_test.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"math/big"
 	"net"
 	"testing"
 	"time"
@@ -18,33 +13,11 @@
 	"linnetbend/internal/testpeer"
 )
 
-// certificate makes one that signs itself.
-func certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parsed, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(parsed)
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
-}
-
 // Over TLS clients with the right certificate are served, one after another on a
 // connection that rests between; others, and plain ones, get nothing.
 func TestTLS(t *testing.T) {
-	cert, pool := certificate(t)
-	mine, theirs := certificate(t)
+	cert, pool := testpeer.Certificate(t)
+	mine, theirs := testpeer.Certificate(t)
 	r := newRig(t, Settings{TLS: &tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: theirs, ClientAuth: tls.RequireAndVerifyClientCert}})
 	ctx := context.Background()
 	good := redis.NewClient(&redis.Options{Addr: r.address, TLSConfig: &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{mine}, ServerName: "127.0.0.1"}})
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -3,10 +3,17 @@
 
 import (
 	"bufio"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -84,3 +91,43 @@
 func Total(conn net.Conn, status int, body string) {
 	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
+
+// Certificate makes one for 127.0.0.1 that signs itself, and what trusts it.
+func Certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// DialNarrow connects with a receive buffer of so many bytes. It is set before the
+// connection is made: a window that shrinks later has systems drop each other's news.
+func DialNarrow(t *testing.T, address string, bytes int) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) }); e != nil {
+			return e
+		}
+		return err
+	}}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
