Call one piece for whole files, account numbers, authorities and looks at a socket

The note of backends out by hand is written by files.Replace; account numbers are read by site.AccountID alone (gateway and limit commands had a copy each); sockets.Authorities reads the certificates that the RESP front and the store's client go by; sockets.Peek is the one look at a socket under Alive, Gone and the front's wait. Behaviour stays; no test was changed.

Measured: go test -race of the gateway, both fronts, counter, sockets, site, owner and the program: green.

--- a/internal/counter/http.go
+++ b/internal/counter/http.go
@@ -6,14 +6,12 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,14 +54,11 @@
 	}
 	store := Store{Address: address, User: s.User, Password: s.Password, Prefix: s.Prefix, Timeout: timeout}
 	if s.CA != "" {
-		pem, err := os.ReadFile(s.CA)
+		roots, err := sockets.Authorities(s.CA)
 		if err != nil {
-			return nil, fmt.Errorf("operator's file: counter.ca: %w", err)
-		}
-		store.TLS = &tls.Config{RootCAs: x509.NewCertPool(), ServerName: s.Name, MinVersion: tls.VersionTLS12}
-		if !store.TLS.RootCAs.AppendCertsFromPEM(pem) {
-			return nil, fmt.Errorf("operator's file: counter.ca: %s holds no certificate", s.CA)
+			return nil, fmt.Errorf("operator's file: counter: %w", err)
 		}
+		store.TLS = &tls.Config{RootCAs: roots, ServerName: s.Name, MinVersion: tls.VersionTLS12}
 		if s.Name == "" {
 			if store.TLS.ServerName, _, err = net.SplitHostPort(address); err != nil {
 				return nil, fmt.Errorf("counter: %w", err)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"linnetbend/internal/site"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
 )
@@ -34,8 +35,6 @@
 	keyHeader    = "Idempotency-Key"
 	termsHeader  = "X-Call-Terms"
 	repeatHeader = "X-Repeat"
-
-	customers = 1 << 33 // ids are below it
 )
 
 // once are the headers that may stand but once. Danger: of two, the backend
@@ -263,8 +262,8 @@
 		return q, errors.New(planHeader + " names no plan")
 	}
 	customer := h.Get(clientHeader)
-	n, err := strconv.ParseUint(customer, 16, 64)
-	if err != nil || len(customer) != 16 || n >= customers {
+	n, err := site.AccountID(customer)
+	if err != nil {
 		return q, errors.New(clientHeader + " is not the number of a customer")
 	}
 	q.Customer = rules.CustomerID(n)
--- a/internal/gateway/hand.go
+++ b/internal/gateway/hand.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"linnetbend/internal/files"
 )
 
 const (
@@ -43,7 +43,7 @@
 var errTooManyOut = errors.New("too many backends are out by hand")
 
 // note writes down that a backend is out, or in again. Danger: a write that is cut
-// short must not cost what stood there; so the new text comes under another name first.
+// short must not cost what stood there, so the file is replaced whole.
 func (h *handBook) note(id string, out bool) error {
 	if h.path == "" {
 		return nil
@@ -75,15 +75,7 @@
 	if err != nil {
 		return fmt.Errorf("backends out by hand: %w", err)
 	}
-	var salt [4]byte
-	rand.Read(salt[:])
-	part := h.path + "." + hex.EncodeToString(salt[:])
-	if err := os.WriteFile(part, text, 0o600); err != nil {
-		os.Remove(part)
-		return fmt.Errorf("backends out by hand: %w", err)
-	}
-	if err := os.Rename(part, h.path); err != nil {
-		os.Remove(part)
+	if err := files.Replace(h.path, text, 0o600); err != nil {
 		return fmt.Errorf("backends out by hand: %w", err)
 	}
 	return nil
--- a/internal/respfront/limit.go
+++ b/internal/respfront/limit.go
@@ -7,13 +7,13 @@
 	"strings"
 
 	"linnetbend/internal/resp"
+	"linnetbend/internal/site"
 	"linnetbend/rules"
 )
 
 const (
 	mostToken    = 128       // bytes
 	mostWait     = 60000     // milliseconds
-	accounts     = 1 << 33   // ids are below it
 	mostThrottle = 1_000_000 // of each of its figures
 )
 
@@ -33,8 +33,8 @@
 
 // account reads an account's number, and sees to it that the user may ask for it.
 func (s *session) account(text string) (uint64, bool) {
-	n, err := strconv.ParseUint(text, 16, 64)
-	if err != nil || len(text) != 16 || n >= accounts {
+	n, err := site.AccountID(text)
+	if err != nil {
 		s.fail(fmt.Sprintf("ERR account '%.64s' is not 16 hexadecimal digits below 0000000200000000", text))
 		return 0, false
 	}
--- a/internal/respfront/open.go
+++ b/internal/respfront/open.go
@@ -2,15 +2,14 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"linnetbend/internal/owner"
 	"linnetbend/internal/site"
+	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
 
@@ -84,23 +83,10 @@
 	}
 	made := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	if s.CA != "" {
-		if made.ClientCAs, err = Authorities(s.CA); err != nil {
+		if made.ClientCAs, err = sockets.Authorities(s.CA); err != nil {
 			return nil, err
 		}
 		made.ClientAuth = tls.RequireAndVerifyClientCert
 	}
 	return made, nil
 }
-
-// Authorities reads the certificates of a PEM file.
-func Authorities(path string) (*x509.CertPool, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("ca: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("ca: %s holds no certificate", path)
-	}
-	return pool, nil
-}
--- a/internal/respfront/session.go
+++ b/internal/respfront/session.go
@@ -9,6 +9,7 @@
 
 	"linnetbend/internal/owner"
 	"linnetbend/internal/resp"
+	"linnetbend/internal/sockets"
 )
 
 // session is one connection: who its client is, and the replies that it is owed,
@@ -116,9 +117,8 @@
 	}
 	ready := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		n, err := sockets.Peek(fd)
+		if errors.Is(err, syscall.EAGAIN) {
 			return false
 		}
 		ready = n > 0
@@ -173,7 +173,7 @@
 		case <-s.front.desk.owner.Stopped():
 			s.broken, waits = true, false
 		case <-look.C:
-			if look.Reset(goneLook); gone(s.raw) || ctx.Err() != nil {
+			if look.Reset(goneLook); sockets.Gone(s.raw) || ctx.Err() != nil {
 				s.front.desk.owner.Post(leaving{s.front.desk, s.slots})
 				s.broken, waits = true, false
 			}
@@ -211,23 +211,3 @@
 		s.broken = true
 	}
 }
-
-// gone tells whether the other side has ended the connection. What it sent before
-// may still be there, unread.
-func gone(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	over := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		over = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-	})
-	return err != nil || over
-}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -177,10 +177,13 @@
 	return "", nil
 }
 
-// AccountID reads an account's number.
+// accounts is what all their numbers are below.
+const accounts = 1 << 33
+
+// AccountID reads an account's number: 16 hexadecimal digits.
 func AccountID(text string) (uint64, error) {
 	n, err := strconv.ParseUint(text, 16, 64)
-	if err != nil || len(text) != 16 || n >= 1<<33 {
+	if err != nil || len(text) != 16 || n >= accounts {
 		return 0, fmt.Errorf("%q is not an account", text)
 	}
 	return n, nil
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -12,27 +12,54 @@
 	"linnetbend/rules"
 )
 
-// Alive looks, without waiting, whether an idle connection still stands and has
-// nothing to say. Danger: what is written to one that the other side has closed
-// ends as a reset, which is no proof that it had no effect.
-func Alive(conn net.Conn) bool {
+// Peek looks, without waiting, at what a socket has to say: n is 1 where bytes have
+// come, 0 where the other side has ended, and err syscall.EAGAIN where neither.
+func Peek(fd uintptr) (n int, err error) {
+	for {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
+
+// look has f see the descriptor of a connection. Control and not Read, which would
+// fail for a time-out that passed since the last use, and would wait for a reader. Known is
+// false where the connection has no descriptor to show.
+func look(conn net.Conn, f func(fd uintptr)) (known bool, err error) {
 	s, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return false, nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return true, err
 	}
+	return true, raw.Control(f)
+}
+
+// Alive looks, without waiting, whether an idle connection still stands and has
+// nothing to say. Danger: what is written to one that the other side has closed
+// ends as a reset, which is no proof that it had no effect.
+func Alive(conn net.Conn) bool {
 	quiet := false
-	// Control and not Read, which would fail for a time-out that passed since the
-	// last use, and would wait for a reader.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	known, err := look(conn, func(fd uintptr) {
+		_, err := Peek(fd)
 		quiet = errors.Is(err, syscall.EAGAIN)
 	})
-	return err == nil && quiet
+	return !known || err == nil && quiet
+}
+
+// Gone looks, without waiting, whether the other side has ended a connection. What
+// it sent before may still be there, unread, and hides the end.
+func Gone(conn net.Conn) bool {
+	over := false
+	known, err := look(conn, func(fd uintptr) {
+		n, err := Peek(fd)
+		over = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
+	})
+	return known && (err != nil || over)
 }
 
 // Ended tells a time-out from a connection that ended.
