Answer takes without an allocation each, and wait for the first request of late connections

The module's answer to a check now lies in storage that is used again, replies' places and the batch stay with the connection's buffers, a pipeline's words are one text, and thousandths are written as whole numbers.

A test run on a busy machine showed one request on a fresh connection dropped at a planned restart: the gateway gave such connections 100 ms. It now waits up to 500 ms for the first request of connections that young; the end stays within its bound.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -16,6 +16,7 @@
 	leastGrace = 100 * time.Millisecond // and so long where there is no room at all
 	roomLook   = 10 * time.Millisecond  // between looks for room
 	crossFor   = 100 * time.Millisecond // a request may be on its way for so long on a connection that was just made
+	crossMost  = 500 * time.Millisecond // and for so long where the machine is slow
 )
 
 // clients keeps the connections of clients within a bound. Danger: a listener
@@ -153,6 +154,26 @@
 func (c *clients) takeLast() {
 	c.Close()
 	time.Sleep(c.cross)
+	for end := time.Now().Add(crossMost - c.cross); c.awaits(crossMost) && time.Now().Before(end); {
+		time.Sleep(roomLook)
+	}
+}
+
+// awaits tells whether a connection younger than that has had no request yet. On a
+// slow machine one may lie there unread, or be a while on its way.
+func (c *clients) awaits(age time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.quiet.Back(); e != nil; e = e.Prev() {
+		q := e.Value.(quietConn)
+		if time.Since(q.since) >= age {
+			return false
+		}
+		if q.fresh {
+			return true
+		}
+	}
+	return false
 }
 
 // closeFresh closes the connections that no request has come on. The server
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -185,3 +185,24 @@
 		t.Fatal(err)
 	}
 }
+
+// The end waits for the request of a connection that was made just before, and not
+// for those that have had one, or that have said nothing for long.
+func TestAwaitsTheFirstRequest(t *testing.T) {
+	c := newClients(nil, 10)
+	busy, silent := &net.TCPConn{}, &net.TCPConn{}
+	if c.awaits(time.Hour) {
+		t.Error("it waits for nobody")
+	}
+	c.state(silent, http.StateNew)
+	if !c.awaits(time.Hour) || c.awaits(0) {
+		t.Error("a new connection's first request is not waited for, or for ever")
+	}
+	c.state(busy, http.StateNew)
+	c.state(busy, http.StateActive)
+	c.state(busy, http.StateIdle)
+	c.state(silent, http.StateActive)
+	if c.awaits(time.Hour) {
+		t.Error("it waits for one that has had its request")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,6 +252,7 @@
 // then sends it again on a new one. So idle connections go at once, while new
 // ones are still taken, and the listener goes later.
 func shutdown(c *Config, front *frontend, callers *clients, server *http.Server) error {
+	began := time.Now()
 	front.leaving.Store(true)
 	if c.Inherited {
 		handOver(callers)
@@ -260,7 +261,7 @@
 		time.Sleep(stayFor)
 		callers.takeLast()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-stayFor-callers.cross)
+	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-time.Since(began))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		server.Close()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -171,8 +171,8 @@
 			o.requests.Refuse(a)
 		case rules.Fail:
 			o.requests.Fail(a)
-		case rules.Checked:
-			o.checked(a)
+		case *rules.Checked:
+			o.checked(*a)
 		case rules.SetTimer:
 			o.timers.add(timerEntry{at: o.Clock.Now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -245,3 +246,20 @@
 		}
 	})
 }
+
+// A number in thousandths reads back as the number that Double would write.
+func TestMilli(t *testing.T) {
+	for _, n := range []int64{0, 1, 10, 100, 999, 1000, 1001, 1010, 1100, 20000, 19999, 123456789, 999999999999999, -1, -1500} {
+		for _, version := range []int{2, 3} {
+			w := Writer{Version: version}
+			w.Milli(n)
+			v, err := NewReader(bytes.NewReader(w.Buf), Bounds{Args: 1, Bulk: 64, Total: 64}).Reply()
+			if version == 2 && err == nil {
+				v.Num, err = strconv.ParseFloat(v.Str, 64)
+			}
+			if err != nil || v.Num != float64(n)/1000 {
+				t.Errorf("%d in version %d: %q, %v", n, version, w.Buf, err)
+			}
+		}
+	}
+}
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -73,7 +73,7 @@
 
 // Double writes a number, in version 2 as text.
 func (w *Writer) Double(x float64) {
-	if n := int64(x); float64(n) == x && n > -1e6 && n < 1e6 { // most are whole, and these cost less
+	if n := int64(x); float64(n) == x && n > -1e15 && n < 1e15 { // most are whole, and these cost less
 		var digits [20]byte
 		text := strconv.AppendInt(digits[:0], n, 10)
 		if w.Version < 3 {
@@ -101,6 +101,28 @@
 	w.line(Double, text)
 }
 
+// Milli writes a number that is given in thousandths, as Double would.
+func (w *Writer) Milli(n int64) {
+	if n%1000 == 0 || n < 0 {
+		w.Double(float64(n) / 1000) // its short way is for whole numbers
+		return
+	}
+	var digits [24]byte
+	text := strconv.AppendInt(digits[:0], n/1000, 10)
+	rest := n % 1000
+	text = append(text, '.', byte('0'+rest/100), byte('0'+rest/10%10), byte('0'+rest%10))
+	for text[len(text)-1] == '0' {
+		text = text[:len(text)-1]
+	}
+	if w.Version < 3 {
+		w.head(Bulk, len(text))
+	} else {
+		w.Buf = append(w.Buf, byte(Double))
+	}
+	w.Buf = append(w.Buf, text...)
+	w.Buf = append(w.Buf, '\r', '\n')
+}
+
 // Bool writes true or false, in version 2 as 1 or 0.
 func (w *Writer) Bool(b bool) {
 	switch {
--- a/internal/respfront/commands.go
+++ b/internal/respfront/commands.go
@@ -62,15 +62,7 @@
 }
 
 // dispatch runs one command, or answers why not.
-func (s *session) dispatch(words [][]byte) {
-	// The words stand in one buffer, one behind the other: one copy is all of them.
-	text, from := string(s.b.text), 0
-	args := s.args[:0]
-	for _, w := range words {
-		args = append(args, text[from:from+len(w)])
-		from += len(w)
-	}
-	s.args = args
+func (s *session) dispatch(args []string) {
 	name := strings.ToUpper(args[0])
 	c := find(name)
 	switch {
@@ -154,7 +146,7 @@
 			}
 			i += 2
 		case word == "SETNAME" && i+1 < len(args):
-			if name, named = args[i+1], true; !plain(name) {
+			if name, named = strings.Clone(args[i+1]), true; !plain(name) {
 				s.user = known
 				s.fail(errName)
 				return
@@ -234,7 +226,7 @@
 			s.fail(errName)
 			return
 		}
-		s.name = args[2]
+		s.name = strings.Clone(args[2]) // not the text of the whole pipeline
 		s.w().Simple("OK")
 	case sub == "SETINFO" && len(args) == 4:
 		if what := strings.ToUpper(args[2]); what != "LIB-NAME" && what != "LIB-VER" || !plain(args[3]) {
--- a/internal/respfront/front.go
+++ b/internal/respfront/front.go
@@ -51,9 +51,32 @@
 
 // buffers are what a connection needs while commands come.
 type buffers struct {
-	reader *resp.Reader
-	text   []byte
-	out    []byte
+	reader  *resp.Reader
+	words   [][]byte
+	text    []byte // of all words of a pipeline
+	lengths []int  // for each command of it, how many words, and the bytes of each
+	out     []byte
+	spare   []*slot // of earlier pipelines
+	batch   *batch  // decided, and used again
+}
+
+// slot is one of an earlier pipeline, or a new one.
+func (b *buffers) slot() *slot {
+	n := len(b.spare)
+	if n == 0 {
+		return &slot{}
+	}
+	r := b.spare[n-1]
+	b.spare = b.spare[:n-1]
+	return r
+}
+
+// batchOf is an empty batch.
+func (b *buffers) batchOf() *batch {
+	if b.batch == nil {
+		b.batch = &batch{done: make(chan struct{}, 1)}
+	}
+	return b.batch
 }
 
 // New makes a front for a desk.
--- a/internal/respfront/limit.go
+++ b/internal/respfront/limit.go
@@ -15,6 +15,7 @@
 	mostToken    = 128       // bytes
 	mostWait     = 60000     // milliseconds
 	mostThrottle = 1_000_000 // of each of its figures
+	mostMilli    = 1e12      // units that are told to a thousandth
 )
 
 // Words that stand in nearly every reply.
@@ -95,7 +96,8 @@
 		case "PLAN":
 			named = value
 		case "ID":
-			if q.token = value; value == "" || len(value) > mostToken {
+			// What is kept must not hold on to the text of the whole pipeline.
+			if q.token = strings.Clone(value); value == "" || len(value) > mostToken {
 				s.fail(fmt.Sprintf("ERR a token has 1 to %d bytes", mostToken))
 				return false
 			}
@@ -140,7 +142,7 @@
 }
 
 func limitTake(s *session, args []string) {
-	var q ask
+	q := s.newAsk()
 	var ok bool
 	if q.account, ok = s.account(args[1]); !ok {
 		return
@@ -148,53 +150,60 @@
 	if q.units, ok = s.units(args[2]); !ok {
 		return
 	}
-	if !s.options(&q, args[3:], "PLAN SPREAD FIRST ID WAIT PARTIAL") || !s.possible(&q) {
+	if !s.options(q, args[3:], "PLAN SPREAD FIRST ID WAIT PARTIAL") || !s.possible(q) {
 		return
 	}
-	s.ask(q, func(w *replies, r *slot) {
-		a := &r.answer
-		w.Map(7)
-		w.Name(wordGranted)
-		w.Double(a.Granted)
-		known(w, a)
-		w.Name(wordSource)
-		switch {
-		case a.Granted == 0:
-			w.Name(wordNone)
-		case a.Shared:
-			w.Name(wordShared)
-		default:
-			w.Name(wordLocal)
-		}
-		w.Name(wordRetryAfterMs)
-		w.Int(ms(a.RetryAfter))
-		w.Name(wordResetAfterMs)
-		w.Int(ms(a.ResetAfter))
-		w.Name(wordRepeated)
-		w.Bool(r.repeated)
-	})
+	s.ask(taken)
+}
+
+// taken writes the reply of a take.
+func taken(w *replies, r *slot) {
+	a := &r.answer
+	w.Map(7)
+	w.Name(wordGranted)
+	w.Double(a.Granted)
+	known(w, a)
+	w.Name(wordSource)
+	switch {
+	case a.Granted == 0:
+		w.Name(wordNone)
+	case a.Shared:
+		w.Name(wordShared)
+	default:
+		w.Name(wordLocal)
+	}
+	w.Name(wordRetryAfterMs)
+	w.Int(ms(a.RetryAfter))
+	w.Name(wordResetAfterMs)
+	w.Int(ms(a.ResetAfter))
+	w.Name(wordRepeated)
+	w.Bool(r.repeated)
 }
 
 // known writes what is left and how exactly that is known. Of a repeated take
 // nothing new is known; without a quota, what is left is without end.
 func known(w *replies, a *rules.Checked) {
 	w.Name(wordRemaining)
-	if math.IsNaN(a.Remaining) {
+	switch {
+	case math.IsNaN(a.Remaining):
 		w.Null()
-	} else {
-		w.Double(math.Floor(a.Remaining*1000) / 1000) // stores refill all the time
+	case a.Remaining < mostMilli:
+		w.Milli(int64(a.Remaining * 1000)) // stores refill all the time
+	default:
+		w.Double(a.Remaining)
 	}
 	w.Name(wordExact)
 	w.Bool(a.Exact)
 }
 
 func limitPeek(s *session, args []string) {
-	q := ask{peek: true}
+	q := s.newAsk()
 	var ok bool
-	if q.account, ok = s.account(args[1]); !ok || !s.options(&q, args[2:], "PLAN SPREAD FIRST") {
+	if q.account, ok = s.account(args[1]); !ok || !s.options(q, args[2:], "PLAN SPREAD FIRST") {
 		return
 	}
-	s.ask(q, func(w *replies, r *slot) {
+	q.peek = true
+	s.ask(func(w *replies, r *slot) {
 		w.Map(3)
 		known(w, &r.answer)
 		w.Name(wordResetAfterMs)
@@ -203,7 +212,8 @@
 }
 
 func limitGive(s *session, args []string) {
-	q := ask{giving: true}
+	q := s.newAsk()
+	q.giving = true
 	var ok bool
 	if q.account, ok = s.account(args[1]); !ok {
 		return
@@ -211,7 +221,7 @@
 	if q.units, ok = s.units(args[2]); !ok {
 		return
 	}
-	if !s.options(&q, args[3:], "ID PLAN SPREAD FIRST") {
+	if !s.options(q, args[3:], "ID PLAN SPREAD FIRST") {
 		return
 	}
 	if q.token == "" {
@@ -219,7 +229,7 @@
 		return
 	}
 	s.settle(s.ctx) // a take before it in the pipeline has to be decided first
-	s.ask(q, func(w *replies, r *slot) {
+	s.ask(func(w *replies, r *slot) {
 		w.Map(3)
 		w.Bulk("given")
 		w.Double(r.answer.Granted)
@@ -272,7 +282,7 @@
 // throttle is the command that rate-limiting modules publish: figures of the limit
 // come with each call. Here they have to be the plan's.
 func throttle(s *session, args []string) {
-	var q ask
+	q := s.newAsk()
 	var ok bool
 	if len(args) > 6 {
 		s.fail("ERR wrong number of arguments for 'cl.throttle' command")
@@ -297,10 +307,10 @@
 		return
 	}
 	q.plan, q.spread, q.wait, q.units = plan, s.front.desk.fleet, -1, float64(figures[3])
-	if q.peek = q.units == 0; !q.peek && !s.possible(&q) {
+	if q.peek = q.units == 0; !q.peek && !s.possible(q) {
 		return
 	}
-	s.ask(q, func(w *replies, r *slot) {
+	s.ask(func(w *replies, r *slot) {
 		a := &r.answer
 		limited := !r.ask.peek && a.Granted < r.ask.units
 		w.Array(5)
--- a/internal/respfront/session.go
+++ b/internal/respfront/session.go
@@ -27,9 +27,9 @@
 	b      *buffers
 	args   []string // of the present command
 	slots  []*slot
-	spare  []*slot        // decided and written: nobody else has them
-	checks []*owner.Check // of the slots that are not handed on yet
-	batch  *batch
+	next   *slot           // the command that is being read may make an ask of it
+	checks []*owner.Check  // of the slots that are not handed on yet
+	batch  *batch          // of these checks; nil: there are none
 	ctx    context.Context // the front's, for a command that has to settle what is before it
 	now    replies         // being written for the present command
 	broken bool            // the client has gone, or takes nothing
@@ -44,15 +44,13 @@
 // said takes the reply that w was given.
 func (s *session) said() { s.slots = append(s.slots, &slot{text: s.now.Buf}) }
 
-// newSlot is a slot of an earlier pipeline, or a new one.
-func (s *session) newSlot() *slot {
-	n := len(s.spare)
-	if n == 0 {
-		return &slot{}
-	}
-	r := s.spare[n-1]
-	s.spare = s.spare[:n-1]
-	return r
+// newAsk is an ask for the present command to fill in.
+func (s *session) newAsk() *ask {
+	if s.next == nil {
+		s.next = s.b.slot()
+	}
+	s.next.ask = ask{}
+	return &s.next.ask
 }
 
 func (s *session) fail(text string) {
@@ -60,14 +58,15 @@
 	s.said()
 }
 
-// ask hands a limit command to the desk, with the next batch.
-func (s *session) ask(q ask, reply func(*replies, *slot)) {
+// ask hands the command that newAsk was filled in for to the desk, with the next batch.
+func (s *session) ask(reply func(*replies, *slot)) {
 	if s.batch == nil {
-		s.batch = &batch{done: make(chan struct{}, 1)}
+		s.batch = s.b.batchOf()
 	}
-	r := s.newSlot()
-	*r = slot{desk: s.front.desk, ask: q, reply: reply, version: s.version, batch: s.batch}
-	r.check.Asker = r
+	r := s.next
+	s.next = nil
+	r.desk, r.reply, r.version, r.batch = s.front.desk, reply, s.version, s.batch
+	r.repeated, r.err, r.decided, r.check = false, nil, false, owner.Check{Asker: r}
 	s.batch.left++
 	s.slots = append(s.slots, r)
 	s.checks = append(s.checks, &r.check)
@@ -132,26 +131,44 @@
 		return
 	}
 	s.b.reader.Reset(nil)
-	s.b.text, s.b.out = s.b.text[:0], s.b.out[:0]
-	s.spare = nil
+	s.next = nil
 	s.front.buffers.Put(s.b)
 	s.b = nil
 }
 
-// pipeline reads the commands that have come whole, as many as a batch holds. The
-// first may still be on its way.
+// pipeline reads the commands that have come whole, as many as a batch holds, and
+// runs them. The first may still be on its way.
 func (s *session) pipeline() error {
-	var args [][]byte
-	for n := 0; n < mostBatch && !s.ending && (n == 0 || s.b.reader.Ready()); n++ {
-		var err error
-		if args, s.b.text, err = s.b.reader.Command(args[:0], s.b.text[:0]); err != nil {
-			return err
+	b := s.b
+	b.text, b.lengths = b.text[:0], b.lengths[:0]
+	var err error
+	for n := 0; n < mostBatch && (n == 0 || b.reader.Ready()); n++ {
+		if b.words, b.text, err = b.reader.Command(b.words[:0], b.text); err != nil {
+			break
+		}
+		b.lengths = append(b.lengths, len(b.words))
+		for _, w := range b.words {
+			b.lengths = append(b.lengths, len(w))
+		}
+	}
+	// The words stand in one buffer, one behind the other: one copy is all of them.
+	text := string(b.text)
+	for left := b.lengths; len(left) > 0 && !s.ending && !s.broken; {
+		var n int
+		n, left = left[0], left[1:]
+		s.args = s.args[:0]
+		for _, size := range left[:n] {
+			s.args = append(s.args, text[:size])
+			text = text[size:]
 		}
-		if len(args) > 0 {
-			s.dispatch(args)
+		if left = left[n:]; n > 0 {
+			s.dispatch(s.args)
 		}
 	}
-	return nil
+	if s.ending {
+		return nil // what came behind is not looked at
+	}
+	return err
 }
 
 // settle hands the limit commands on in one message and waits for their answers, at
@@ -179,6 +196,9 @@
 			}
 		}
 	}
+	if s.broken {
+		s.b.batch = nil // the owner may still be at it
+	}
 	s.batch, s.checks = nil, s.checks[:0]
 }
 
@@ -201,7 +221,7 @@
 			r.reply(&w, r)
 		}
 		if r.decided {
-			s.spare = append(s.spare, r)
+			s.b.spare = append(s.b.spare, r) // nobody else has it
 		}
 	}
 	s.slots = s.slots[:0]
--- a/rules/checks.go
+++ b/rules/checks.go
@@ -55,7 +55,7 @@
 	if left := j.Units - units; left > 0 && c.terms.rate > 0 {
 		a.RetryAfter = max((left-a.Remaining)/c.terms.rate, c.dryUntil-g.now, c.restTill-g.now, g.set.Tick)
 	}
-	g.do(a)
+	g.say(a)
 }
 
 // least is how many units a request or check will do with.
@@ -106,7 +106,7 @@
 	c := g.customerOf(Request{Customer: e.Customer, Plan: e.Plan, FirstPeer: e.FirstPeer, Gateways: e.Gateways})
 	a := g.known(c, e.Plan)
 	a.ID = e.ID
-	g.do(a)
+	g.say(a)
 }
 
 // give takes units back. Danger: a store that was renewed since must not be lifted over its burst by what
@@ -127,6 +127,6 @@
 	}
 	a := g.known(c, e.Plan)
 	a.ID, a.Granted = e.ID, back
-	g.do(a)
+	g.say(a)
 	g.admit(c)
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -105,7 +105,7 @@
 	if now != g.now { // checks come many at a time
 		g.load += (1 - math.Exp((g.now-now)/loadSpan)) * (float64(g.inFlight) - g.load)
 	}
-	g.now, g.out = now, out
+	g.now, g.out, g.said = now, out, g.said[:0]
 	switch e := ev.(type) {
 	case Request:
 		g.request(e)
--- a/rules/state.go
+++ b/rules/state.go
@@ -11,10 +11,11 @@
 
 // Gateway holds all that one gateway knows.
 type Gateway struct {
-	set Settings
-	now float64
-	rng *rand.Rand
-	out []Action
+	set  Settings
+	now  float64
+	rng  *rand.Rand
+	out  []Action
+	said []Checked // of the present event; out points into it
 
 	jobs      map[RequestID]*job
 	spare     *job     // a check that is over
@@ -104,6 +105,13 @@
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
 
+// say answers a check. The action is good until the next event: checks come by the
+// hundred thousand, and an answer each on the heap is what they would cost most.
+func (g *Gateway) say(a Checked) {
+	g.said = append(g.said, a)
+	g.do(&g.said[len(g.said)-1])
+}
+
 func (g *Gateway) timer(in float64, kind uint64, attempt int, id RequestID) {
 	g.do(SetTimer{In: max(in, 0), Token: kind<<56 | uint64(attempt)<<32 | uint64(id), Request: id})
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -340,7 +340,8 @@
 // Fail is a final answer with no promise about the effect.
 type Fail struct{ Request RequestID }
 
-// Checked answers a Check, Peek or Give.
+// Checked answers a Check, Peek or Give. It comes as a pointer that is good until
+// the next event.
 type Checked struct {
 	ID         RequestID
 	Granted    float64 // units
@@ -382,7 +383,7 @@
 func (Cancel) action()    {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
-func (Checked) action()   {}
+func (*Checked) action()  {}
 func (SetTimer) action()  {}
 func (Count) action()     {}
 func (Probe) action()     {}
