--- a/cmd/elderctl/import_test.go
+++ b/cmd/elderctl/import_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
+	"linnetbend/internal/config"
 	"linnetbend/internal/document"
-	gatewayconfig "linnetbend/internal/gateway"
 	"linnetbend/revisions"
 )
 
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := gatewayconfig.ParseConfig(r.Config)
+	got, err := config.Parse(r.Config)
 	if err != nil || got.Rank != 1 || got.Discovery != "127.0.0.1:7003" || got.Plans[0].Rate != 10 || got.Seed != 10 {
 		t.Fatalf("%v %+v", err, got)
 	}
--- a/cmd/elderctl/view.go
+++ b/cmd/elderctl/view.go
@@ -14,6 +14,7 @@
 
 	"linnetbend/internal/lab"
 	"linnetbend/internal/lab/audit"
+	"linnetbend/internal/lab/load"
 )
 
 const (
@@ -85,8 +86,8 @@
 	defer v.mu.Unlock()
 	if !v.screen {
 		p := s.Progress
-		fmt.Fprintf(v.out, "%5.0f of %.0f s: %d asked, %d served, %d refused, %d failed, %d without an answer, %d retries; gateways %s%s\n",
-			s.At.Seconds(), s.Of.Seconds(), p.First, p.Served, p.Refused, p.Failed, p.Unhandled, p.Retries, states(s.Gateways), on(s.Faults))
+		fmt.Fprintf(v.out, "%5.0f of %.0f s: %d asked, %d served, %d refused, %d failed, %d without an answer, %d retries%s; gateways %s%s\n",
+			s.At.Seconds(), s.Of.Seconds(), p.First, p.Served, p.Refused, p.Failed, p.Unhandled, p.Retries, takes(p), states(s.Gateways), on(s.Faults))
 		return
 	}
 	text := v.draw(s)
@@ -112,6 +113,14 @@
 	v.drawn = max(v.drawn, len(lines))
 }
 
+// takes tells of limit commands, if there were any.
+func takes(p load.Progress) string {
+	if p.Takes == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d limit commands, %d granted", p.Takes, p.Granted)
+}
+
 func states(list []lab.GatewayShot) string {
 	var parts []string
 	for _, g := range list {
@@ -148,8 +157,8 @@
 	var b strings.Builder
 	p := s.Progress
 	fmt.Fprintf(&b, "elderyard lab  %s  %s %.0f of %.0f s\n%s\n\n", v.name, bar(s.At, s.Of), s.At.Seconds(), s.Of.Seconds(), v.about)
-	fmt.Fprintf(&b, "asked %d   served %d   refused %d   failed %d   no answer %d   retries %d   late %d\n\n",
-		p.First, p.Served, p.Refused, p.Failed, p.Unhandled, p.Retries, s.Late)
+	fmt.Fprintf(&b, "asked %d   served %d   refused %d   failed %d   no answer %d   retries %d   late %d%s\n\n",
+		p.First, p.Served, p.Refused, p.Failed, p.Unhandled, p.Retries, s.Late, takes(p))
 	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
 	fmt.Fprint(w, "answered, by class")
 	for i, name := range s.Classes {
@@ -205,6 +214,9 @@
 		}
 	}
 	fmt.Fprintf(out, "%d excused by a fault of a gateway's own, %d bad requests\n", c.Excused, c.Bad)
+	if c.Takes > 0 {
+		fmt.Fprintf(out, "%d limit commands, %g units granted by them; %d answers from a local share\n", c.Takes, c.Granted, c.Local)
+	}
 	if q := v.Worst; q.Plan != "" && q.Units > 0 {
 		fmt.Fprintf(out, "furthest beyond a quota: account %016x (%s), %.1f units or %.0f%% of the %.1f allowed between %.1f and %.1f s\n",
 			q.Customer, q.Plan, q.Units, q.Percent, q.Allowed, q.From.Seconds(), q.To.Seconds())
--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"syscall"
 
+	"linnetbend/internal/config"
 	"linnetbend/internal/gateway"
 	"linnetbend/internal/site"
 )
@@ -41,7 +42,7 @@
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
 	}
-	c, err := gateway.ReadConfig(path)
+	c, err := config.Read(path)
 	if err != nil {
 		return err
 	}
@@ -65,8 +66,8 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * c.Site.Memory.HeapShare))
 	debug.SetGCPercent(c.Site.Memory.HeapGrow)
 	log.SetPrefix(c.Name + " ")
-	return gateway.Run(ctx, &c, fd, gateway.Reload{Signal: hup, Read: func() (gateway.Config, error) {
-		next, err := gateway.ReadConfig(path)
+	return gateway.Run(ctx, &c, fd, gateway.Reload{Signal: hup, Read: func() (config.Config, error) {
+		next, err := config.Read(path)
 		if fd >= 0 {
 			next.Share()
 		}
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
+	"linnetbend/internal/config"
 	"linnetbend/internal/counter"
-	"linnetbend/internal/gateway"
 	"linnetbend/internal/owner"
 	"linnetbend/internal/respfront"
 	"linnetbend/internal/site"
@@ -103,8 +103,8 @@
 }
 
 // start serves with these files and returns what ends that.
-func (f *limitFront) start(config, operators []byte) (stop func(), err error) {
-	c, err := gateway.ParseConfig(config)
+func (f *limitFront) start(platforms, operators []byte) (stop func(), err error) {
+	c, err := config.Parse(platforms)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/config.go
+++ b/internal/config/config.go
@@ -1,8 +1,6 @@
-// Package gateway is the real gateway round the decision module: it turns what
-// happens on sockets into the module's events and carries out its actions.
-// Which request goes where, and when it is refused, is decided in package
-// rules alone.
-package gateway
+// Package config reads what the platform tells a gateway at its start. An agent's front
+// reads the same file, so it is no part of the gateway.
+package config
 
 import (
 	"encoding/json"
@@ -13,6 +11,7 @@
 	"slices"
 	"strconv"
 
+	"linnetbend/internal/discovery"
 	"linnetbend/internal/site"
 	"linnetbend/internal/wire"
 )
@@ -30,7 +29,7 @@
 	Cores     float64
 	MemoryMB  int
 	Sockets   int // file descriptors
-	Known     Listing
+	Known     discovery.Listing
 	Site      site.Settings // the operator's; the platform says nothing of it
 	wire.Deployment
 }
@@ -41,21 +40,21 @@
 	leastSockets  = 128
 )
 
-// ReadConfig reads the configuration file at path.
-func ReadConfig(path string) (Config, error) {
+// Read reads the configuration file at path.
+func Read(path string) (Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := ParseConfig(text)
+	c, err := Parse(text)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-// ParseConfig reads the text of a configuration file.
-func ParseConfig(text []byte) (Config, error) {
+// Parse reads the text of a configuration file.
+func Parse(text []byte) (Config, error) {
 	var raw struct {
 		Name, Listen, Operator, Discovery, Counter, Seed string
 		Limits                                           struct {
@@ -63,7 +62,7 @@
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
 		}
-		Known    Listing
+		Known    discovery.Listing
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
--- a/internal/gateway/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,6 @@
-package gateway
+// Package discovery follows the platform's list of backends and reads its entries for
+// the decision module.
+package discovery
 
 import (
 	"context"
@@ -47,17 +49,17 @@
 
 var lifecycles = map[string]rules.BackendState{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
 
-// backendID derives the module's id from the name alone, so that all gateways
+// BackendID derives the module's id from the name alone, so that all gateways
 // agree on it whatever order they hear of backends in.
-func backendID(instance string) rules.BackendID {
+func BackendID(instance string) rules.BackendID {
 	h := fnv.New32a()
 	io.WriteString(h, instance)
 	return rules.BackendID(h.Sum32())
 }
 
-// backend translates an entry. The module's clock is Unix time (see clock), so
+// Backend translates an entry. The module's clock is Unix time (see owner.Clock), so
 // a start needs its unit changed only.
-func (i Instance) backend(d *wire.Deployment) (rules.Backend, error) {
+func (i Instance) Backend(d *wire.Deployment) (rules.Backend, error) {
 	state, known := lifecycles[i.Lifecycle]
 	zone := slices.Index(d.Zones, i.Zone)
 	switch {
@@ -69,12 +71,12 @@
 	case math.IsNaN(i.Weight) || i.StartedAtMs < 0:
 		return rules.Backend{}, fmt.Errorf("instance %q: impossible weight or start", i.ID)
 	}
-	return rules.Backend{ID: backendID(i.ID), Zone: zone, Kind: slices.Index(d.Kinds, i.MachineType), Cell: i.Cell,
+	return rules.Backend{ID: BackendID(i.ID), Zone: zone, Kind: slices.Index(d.Kinds, i.MachineType), Cell: i.Cell,
 		State: state, Weight: i.Weight, Born: float64(i.StartedAtMs) / 1000}, nil
 }
 
-// watcher follows discovery and hands on each answer.
-type watcher struct {
+// Watcher follows discovery and hands on each answer.
+type Watcher struct {
 	address string
 	client  *http.Client
 	since   int64
@@ -82,15 +84,17 @@
 	heard   func(Listing)
 }
 
-func newWatcher(address string, heard func(Listing)) *watcher {
-	return &watcher{address: address, heard: heard,
+// NewWatcher follows the discovery at an address. Heard is told each answer, in the
+// goroutine of Run.
+func NewWatcher(address string, heard func(Listing)) *Watcher {
+	return &Watcher{address: address, heard: heard,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
 }
 
-// run asks until ctx ends: once for the list, from then on for changes. A
+// Run asks until ctx ends: once for the list, from then on for changes. A
 // failed call is made again soon, on a new connection, from the last version
 // that arrived; what changed meanwhile comes with its answer.
-func (w *watcher) run(ctx context.Context) {
+func (w *Watcher) Run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	var complained time.Time
 	for ctx.Err() == nil {
@@ -112,7 +116,7 @@
 	}
 }
 
-func (w *watcher) ask(ctx context.Context) (l Listing, err error) {
+func (w *Watcher) ask(ctx context.Context) (l Listing, err error) {
 	url, limit := "http://"+w.address+listPath, listTimeout
 	if w.listed {
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, watchWait.Milliseconds())
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -19,7 +19,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"linnetbend/internal/gateway"
+	"linnetbend/internal/config"
 	"linnetbend/internal/site"
 	"linnetbend/internal/strict"
 	"linnetbend/internal/wire"
@@ -160,8 +160,8 @@
 // Render makes the files of one instance. An error names file, line and key as
 // far as they can be told.
 func (d *Document) Render(revision uint64, i Instance) (*Rendered, error) {
-	config := merge(d.base.Gateway, d.overlays[i.Name].Gateway)
-	for _, key := range slices.Sorted(maps.Keys(config)) {
+	whole := merge(d.base.Gateway, d.overlays[i.Name].Gateway)
+	for _, key := range slices.Sorted(maps.Keys(whole)) {
 		if !slices.Contains(own, key) {
 			text := "there is no such key"
 			if near := strict.Near(key, own); near != "" {
@@ -170,29 +170,29 @@
 			return nil, d.blame(i.Name, "gateway."+key, text)
 		}
 	}
-	settings, err := json.Marshal(config["settings"])
+	settings, err := json.Marshal(whole["settings"])
 	if err != nil {
 		return nil, d.blame(i.Name, "gateway.settings", err.Error())
 	}
-	if config["settings"] == nil {
+	if whole["settings"] == nil {
 		return nil, d.blame(i.Name, "gateway.settings", "is missing")
 	}
 	if err := wire.CheckKeys(settings); err != nil {
 		return nil, d.blameKey(i.Name, err)
 	}
 	seed := sha256.Sum256([]byte(i.Name))
-	config["name"], config["listen"] = i.Name, i.Listen
+	whole["name"], whole["listen"] = i.Name, i.Listen
 	for key, value := range map[string]any{"seed": hex.EncodeToString(seed[:8]), "counter": "",
 		"known": map[string]any{"generation": 0, "reset": true, "instances": []any{}}} {
-		if config[key] == nil {
-			config[key] = value
+		if whole[key] == nil {
+			whole[key] = value
 		}
 	}
 	r := &Rendered{}
-	if r.Config, err = json.MarshalIndent(config, "", " "); err != nil {
+	if r.Config, err = json.MarshalIndent(whole, "", " "); err != nil {
 		return nil, d.blame(i.Name, "gateway", err.Error())
 	}
-	parsed, err := gateway.ParseConfig(r.Config)
+	parsed, err := config.Parse(r.Config)
 	if err != nil {
 		return nil, d.blameKey(i.Name, err)
 	}
@@ -211,9 +211,9 @@
 		return nil, d.blame(i.Name, "site", err.Error())
 	}
 	for _, key := range reloads {
-		delete(config, key)
+		delete(whole, key)
 	}
-	fixed, err := json.Marshal(config)
+	fixed, err := json.Marshal(whole)
 	if err != nil {
 		return nil, d.blame(i.Name, "gateway", err.Error())
 	}
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"linnetbend/internal/config"
 	"linnetbend/internal/sockets"
 	"linnetbend/rules"
 )
@@ -143,7 +144,7 @@
 	c.cross = 2 * time.Second
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: c.state}
 	server.RegisterOnShutdown(c.closeFresh)
-	config := &Config{}
+	config := &config.Config{}
 	config.Classes = []rules.Class{{Deadline: patience.Seconds()}}
 	go server.Serve(c)
 	conn, err := net.Dial("tcp", l.Addr().String())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,9 @@
 	"sync"
 	"time"
 
+	"linnetbend/internal/config"
 	"linnetbend/internal/counter"
+	"linnetbend/internal/discovery"
 	"linnetbend/internal/owner"
 	"linnetbend/internal/respfront"
 	"linnetbend/rules"
@@ -28,12 +30,12 @@
 // Reload tells a running gateway that its configuration has been replaced.
 type Reload struct {
 	Signal <-chan os.Signal
-	Read   func() (Config, error) // the new configuration
+	Read   func() (config.Config, error) // the new configuration
 }
 
 // Run serves clients until ctx ends, then answers what it holds and returns. Fd is
 // the clients' listening socket where that came with the process, else below 0.
-func Run(ctx context.Context, c *Config, fd int, reload Reload) error {
+func Run(ctx context.Context, c *config.Config, fd int, reload Reload) error {
 	var listener net.Listener
 	var err error
 	if fd < 0 {
@@ -70,15 +72,15 @@
 }
 
 // mostClients is how many connections of clients the limits bear.
-func (c *Config) mostClients() int {
+func mostClients(c *config.Config) int {
 	bySockets := c.Site.Clients.SocketShare * float64(c.Sockets-reserved)
 	byMemory := c.Site.Clients.MemoryShare * float64(c.MemoryMB<<20) / clientCost
 	return int(min(bySockets, byMemory))
 }
 
 // serve is Run on sockets that are open. Desk is the operators', or nil.
-func serve(ctx context.Context, c *Config, listener, desk net.Listener, reload Reload) error {
-	most := c.mostClients()
+func serve(ctx context.Context, c *config.Config, listener, desk net.Listener, reload Reload) error {
+	most := mostClients(c)
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
 	c.Settings.Fronts = c.Site.Quotas.Fronts
 	calls, err := counter.Open(c.Site.Counter, c.Settings, c.Counter)
@@ -127,7 +129,7 @@
 		ended := make(chan struct{})
 		wg.Go(func() {
 			defer close(ended)
-			newWatcher(address, front.loop.hear).run(ctx)
+			discovery.NewWatcher(address, front.loop.hear).Run(ctx)
 		})
 		return func() { cancel(); <-ended }
 	}
@@ -193,7 +195,7 @@
 
 // openLimits opens the front for limit commands and returns what serves it. In an
 // upgrade the process before has the address until it ends; then it is tried for again.
-func openLimits(c *Config, o *owner.Owner) (serve func(context.Context), err error) {
+func openLimits(c *config.Config, o *owner.Owner) (serve func(context.Context), err error) {
 	front, err := respfront.Open(c.Site.RESP, o, c.Settings, c.PlanNames)
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
@@ -251,7 +253,7 @@
 // Danger: a request may cross the closing of its idle connection; its client
 // then sends it again on a new one. So idle connections go at once, while new
 // ones are still taken, and the listener goes later.
-func shutdown(c *Config, front *frontend, callers *clients, server *http.Server) error {
+func shutdown(c *config.Config, front *frontend, callers *clients, server *http.Server) error {
 	began := time.Now()
 	front.leaving.Store(true)
 	if c.Inherited {
@@ -271,7 +273,7 @@
 }
 
 // longest is how long a request may be held.
-func longest(c *Config) time.Duration {
+func longest(c *config.Config) time.Duration {
 	most := 0.0
 	for _, class := range c.Classes {
 		most = max(most, class.Deadline)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"linnetbend/internal/config"
+	"linnetbend/internal/discovery"
+	"linnetbend/internal/site"
+	"linnetbend/internal/testpeer"
 	"net"
 	"net/http"
 	"os"
@@ -21,7 +25,7 @@
 	address  string
 	desk     string // the operators' address, if it has one
 	state    string // the folder of what outlives an upgrade
-	registry *registry
+	registry *testpeer.Registry
 	stop     context.CancelFunc
 	ended    chan error
 	hup      chan os.Signal
@@ -38,9 +42,9 @@
 // newRigWith does so with another configuration.
 func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
-	r := &rig{registry: newRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
-	config := change(configText(r.registry.Address(), testSettings))
-	c, err := ParseConfig([]byte(config))
+	r := &rig{registry: testpeer.NewRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
+	text := change(testpeer.ConfigText(r.registry.Address(), testpeer.Settings))
+	c, err := config.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,23 +64,23 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	r.config.Store(&config)
-	reload := Reload{r.hup, func() (Config, error) { return ParseConfig([]byte(*r.config.Load())) }}
+	r.config.Store(&text)
+	reload := Reload{r.hup, func() (config.Config, error) { return config.Parse([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
 	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
 	}
-	r.registry.answers <- listing(true, "Ready", backends...)
+	r.registry.Answers <- listing(true, "Ready", backends...)
 	r.until(t, http.StatusOK)
 	return r
 }
 
-func listing(reset bool, lifecycle string, backends ...*peer) Listing {
-	l := Listing{Generation: 1, Reset: reset}
+func listing(reset bool, lifecycle string, backends ...*peer) discovery.Listing {
+	l := discovery.Listing{Generation: 1, Reset: reset}
 	for _, b := range backends {
-		l.Instances = append(l.Instances, Instance{ID: b.Address(), HostPort: b.Address(), Zone: "a", MachineType: "m",
+		l.Instances = append(l.Instances, discovery.Instance{ID: b.Address(), HostPort: b.Address(), Zone: "a", MachineType: "m",
 			Lifecycle: lifecycle, Weight: 1})
 	}
 	return l
@@ -434,11 +438,11 @@
 	bad := good[:len(good)/2]
 	r.config.Store(&bad)
 	r.hup <- syscall.SIGHUP
-	other := newRegistry(t)
+	other := testpeer.NewRegistry(t)
 	next := strings.NewReplacer(r.registry.Address(), other.Address(), counter.Address(), moved.Address()).Replace(good)
 	r.config.Store(&next)
 	r.hup <- syscall.SIGHUP
-	if query := wait(t, other.calls, "call of the new discovery"); query != "" {
+	if query := wait(t, other.Calls, "call of the new discovery"); query != "" {
 		t.Errorf("the new discovery was asked for %q, not for the whole list", query)
 	}
 	total(calls, 200, "12")
@@ -449,8 +453,8 @@
 	if _, err := cr.ReadByte(); err != io.EOF {
 		t.Errorf("the old counter's connection: %v", err)
 	}
-	other.answers <- listing(true, "Ready", second)
-	if query := wait(t, other.calls, "watch"); query != "since=1&timeout_ms=4000" {
+	other.Answers <- listing(true, "Ready", second)
+	if query := wait(t, other.Calls, "watch"); query != "since=1&timeout_ms=4000" {
 		t.Errorf("watch %q", query)
 	}
 	_, answers := r.client(t, ask("GET", "lookup", "", clientHeader, "0000000000000001"))
@@ -492,10 +496,10 @@
 		}
 	}
 	// The call after the one that told of the drain shows that it was heard.
-	wait(t, r.registry.calls, "first list")
-	wait(t, r.registry.calls, "watch")
-	r.registry.answers <- listing(false, "Terminating", backend)
-	wait(t, r.registry.calls, "next watch")
+	wait(t, r.registry.Calls, "first list")
+	wait(t, r.registry.Calls, "watch")
+	r.registry.Answers <- listing(false, "Terminating", backend)
+	wait(t, r.registry.Calls, "next watch")
 	_, answers := r.client(t, ask("GET", "glance", ""))
 	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || len(backend.Conns) != 0 {
 		t.Errorf("status %d, %d connections to the draining backend", resp.StatusCode, len(backend.Conns))
@@ -547,3 +551,15 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// Where memory is short it bounds the clients' connections before descriptors
+// do, but leaves room for the third of these that requests may take.
+func TestMostClients(t *testing.T) {
+	for _, c := range []struct{ memory, sockets, want int }{
+		{192, 1024, 720}, {192, 256, 144}, {32, 256, 144}, {32, 1024, 341},
+	} {
+		if got := mostClients(&config.Config{Site: site.Defaults(), MemoryMB: c.memory, Sockets: c.sockets}); got != c.want {
+			t.Errorf("%d MB, %d sockets: %d, want %d", c.memory, c.sockets, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 
+	"linnetbend/internal/config"
+	"linnetbend/internal/discovery"
 	"linnetbend/internal/owner"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
@@ -37,7 +39,7 @@
 	}
 	news struct {
 		l       *Loop
-		listing Listing
+		listing discovery.Listing
 		kind    rules.ListKind
 	}
 	handCall struct { // an operator's
@@ -96,7 +98,7 @@
 	out   map[string]struct{} // backends out by hand; the module leaves them out
 }
 
-func newLoop(c *Config, p *pools, k owner.Counter, onListed func()) *Loop {
+func newLoop(c *config.Config, p *pools, k owner.Counter, onListed func()) *Loop {
 	l := &Loop{Owner: owner.New(c.Settings, c.Seed, k), deploy: &c.Deployment, pools: p, onListed: onListed,
 		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]listed{}, out: map[string]struct{}{}}
 	l.Start(l)
@@ -104,7 +106,7 @@
 }
 
 // hear passes on what discovery told.
-func (l *Loop) hear(told Listing) {
+func (l *Loop) hear(told discovery.Listing) {
 	kind := rules.Delta
 	if told.Reset {
 		kind = rules.FullList
@@ -155,11 +157,11 @@
 
 // list takes in what discovery told. Connections follow it before the module
 // hears of it.
-func (l *Loop) list(told Listing, kind rules.ListKind) {
+func (l *Loop) list(told discovery.Listing, kind rules.ListKind) {
 	ev := rules.Backends{Kind: kind}
 	kept := map[rules.BackendID]bool{}
 	for _, i := range told.Instances {
-		b, err := i.backend(l.deploy)
+		b, err := i.Backend(l.deploy)
 		if err != nil {
 			log.Printf("discovery: %v", err)
 			continue
@@ -238,7 +240,7 @@
 	if _, was := l.out[name]; was == out {
 		return
 	}
-	id := backendID(name)
+	id := discovery.BackendID(name)
 	at, ready := l.names[id]
 	ready = ready && at.name == name
 	if out {
--- a/internal/gateway/operator_test.go
+++ b/internal/gateway/operator_test.go
@@ -115,12 +115,12 @@
 	if _, err := br.ReadByte(); err != io.EOF {
 		t.Errorf("its connection: %v", err)
 	}
-	wait(t, r.registry.calls, "first list")
-	wait(t, r.registry.calls, "watch")
+	wait(t, r.registry.Calls, "first list")
+	wait(t, r.registry.Calls, "watch")
 	again := listing(true, "Ready", backend)
 	again.Instances[0].StartedAtMs = time.Now().UnixMilli()
-	r.registry.answers <- again
-	wait(t, r.registry.calls, "next watch")
+	r.registry.Answers <- again
+	wait(t, r.registry.Calls, "next watch")
 	_, refused := r.client(t, ask("GET", "glance", ""))
 	if resp := wait(t, refused, "answer"); resp.StatusCode != 429 || len(backend.Conns) != 0 {
 		t.Errorf("while out: %d, %d connections", resp.StatusCode, len(backend.Conns))
--- a/internal/lab/audit/log.go
+++ b/internal/lab/audit/log.go
@@ -41,6 +41,7 @@
 type Rules struct {
 	Classes    []Class
 	Plans      []Plan
+	TakeWorth  float64       // of a unit that a limit command is granted
 	Slack      time.Duration // on every time limit
 	DrainGrace time.Duration // after the news, before the rule on drains holds
 	Overshoot  float64       // of a quota that is let pass, in percent of the account's burst
@@ -88,6 +89,30 @@
 	Bad      string // the kind of bad client; "" for a usual one
 }
 
+// Take is one limit command: a take, or with Gives what hands units back.
+type Take struct {
+	First    int    // number of the arrival that this belongs to
+	Number   int    // 0: the first command of it
+	Front    string // who was asked
+	Customer uint64
+	Plan     int
+	Token    string
+	Asked    float64 // units
+	Granted  float64 // units that its client learnt that it has, or gave
+	Part     bool    // fewer would do
+	Gives    bool
+	Arrived  time.Time // when the first command was due
+	Sent     time.Time
+	Left     time.Duration // within it an answer is owed
+	Over     time.Time
+	Outcome  Outcome // Served: units were had; Failed: an error
+	Error    string
+	Local    bool // from a local share
+	Repeated bool // the answer of an earlier command
+	Pooled   bool // it went out on a connection that had been used before
+	Fresh    bool // it was sent on a connection of its own
+}
+
 // Attempt is one request that reached a backend whole.
 type Attempt struct {
 	Backend string
@@ -141,6 +166,7 @@
 	From, To  time.Time // while load was on
 	Tries     []Try
 	Attempts  []Attempt
+	Takes     []Take
 	Told      []Told
 	Falls     []Fall
 	Excused   []Window // a gateway was killed, stopped or cut off from its clients
--- a/internal/lab/audit/quotas.go
+++ b/internal/lab/audit/quotas.go
@@ -37,11 +37,13 @@
 		}
 		b.level, b.at = filled, at
 	}
-	b.level -= units
+	b.level = min(b.level-units, b.burst) // units may be below 0: they came back
 }
 
-// passed returns what was passed on for each account: every try once, with the
-// units that its client named, when the first attempt was sent that came whole to a backend.
+// passed returns what was had of each account: of every try that was passed on,
+// once, the units that its client named, when the first attempt was sent that came whole to a
+// backend; of every take what its client learnt that it has; less what came back. A repeat under a
+// token is no second take.
 func (j *judge) passed() map[uint64][]use {
 	all := map[uint64][]use{}
 	for id, list := range j.byID {
@@ -51,6 +53,18 @@
 		}
 		all[t.Customer] = append(all[t.Customer], use{list[0].First, t.Units, id})
 	}
+	type token struct{ front, id string }
+	had := map[token]bool{}
+	for i := range j.log.Takes {
+		switch t := &j.log.Takes[i]; {
+		case t.Granted == 0 || t.Token != "" && !t.Gives && had[token{t.Front, t.Token}]:
+		case t.Gives:
+			all[t.Customer] = append(all[t.Customer], use{t.Sent, -t.Granted, t.Token})
+		default:
+			had[token{t.Front, t.Token}] = true
+			all[t.Customer] = append(all[t.Customer], use{t.Over, t.Granted, t.Token})
+		}
+	}
 	for _, list := range all {
 		slices.SortFunc(list, func(a, b use) int { return a.at.Compare(b.at) })
 	}
@@ -65,6 +79,9 @@
 			plans[j.log.Tries[i].Customer] = j.log.Tries[i].Plan
 		}
 	}
+	for i := range j.log.Takes {
+		plans[j.log.Takes[i].Customer] = j.log.Takes[i].Plan
+	}
 	v.Worst.Percent = math.Inf(-1)
 	for customer, list := range j.passed() {
 		plan := &j.rules.Plans[plans[customer]]
@@ -134,6 +151,7 @@
 		arrived time.Time
 		t       *Try
 		served  bool
+		take    *Take // in place of t
 	}
 	firsts := map[int]*first{}
 	var order []*first
@@ -144,7 +162,7 @@
 		}
 		f := firsts[t.First]
 		if f == nil {
-			f = &first{t.Arrived, t, false}
+			f = &first{arrived: t.Arrived, t: t}
 			firsts[t.First] = f
 			order = append(order, f)
 		}
@@ -152,37 +170,59 @@
 			f.served = true
 		}
 	}
+	for i := range j.log.Takes {
+		if t := &j.log.Takes[i]; t.Number == 0 {
+			order = append(order, &first{arrived: t.Arrived, take: t})
+		}
+	}
 	slices.SortStableFunc(order, func(a, b *first) int { return a.arrived.Compare(b.arrived) })
 	accounts, buckets := map[uint64]*account{}, map[uint64]*bucket{}
+	takes := len(j.rules.Classes) // stands for a class of their own
 	for _, f := range order {
-		t, plan := f.t, &j.rules.Plans[f.t.Plan]
-		a := accounts[t.Customer]
+		customer, in, units := uint64(0), 0, 0.0
+		if f.take != nil {
+			customer, in, units = f.take.Customer, f.take.Plan, f.take.Asked
+		} else {
+			customer, in, units = f.t.Customer, f.t.Plan, f.t.Units
+		}
+		plan := &j.rules.Plans[in]
+		a := accounts[customer]
 		if a == nil {
-			a = &account{plan: t.Plan, askedWorth: map[int]float64{}, gotWorth: map[int]float64{}}
-			accounts[t.Customer] = a
-			buckets[t.Customer] = newBucket(plan.Rate, plan.Burst, j.log.From)
-		}
-		worth := j.rules.Classes[t.Class].Worth * plan.Price
-		a.askedUnits += t.Units
-		a.askedWorth[t.Class] += worth
-		if f.served {
-			a.servedUnits += t.Units
-			a.gotWorth[t.Class] += worth
-		}
-		b := buckets[t.Customer]
+			a = &account{plan: in, askedWorth: map[int]float64{}, gotWorth: map[int]float64{}}
+			accounts[customer] = a
+			buckets[customer] = newBucket(plan.Rate, plan.Burst, j.log.From)
+		}
+		a.askedUnits += units
+		if f.take != nil {
+			worth := j.rules.TakeWorth * plan.Price
+			a.askedWorth[takes] += worth * units
+			a.servedUnits += f.take.Granted
+			a.gotWorth[takes] += worth * f.take.Granted
+		} else {
+			worth := j.rules.Classes[f.t.Class].Worth * plan.Price
+			a.askedWorth[f.t.Class] += worth
+			if f.served {
+				a.servedUnits += units
+				a.gotWorth[f.t.Class] += worth
+			}
+		}
+		b := buckets[customer]
 		if plan.Rate <= 0 {
-			a.inside += t.Units
+			a.inside += units
 			continue
 		}
-		if b.take(f.arrived, 0); b.level >= t.Units {
-			b.level -= t.Units
-			a.inside += t.Units
+		if b.take(f.arrived, 0); b.level >= units {
+			b.level -= units
+			a.inside += units
 		}
 	}
 	classes, plans := make([]Service, len(j.rules.Classes)), make([]Service, len(j.rules.Plans))
 	for i := range classes {
 		classes[i].Name = j.rules.Classes[i].Name
 	}
+	if len(j.log.Takes) > 0 {
+		classes = append(classes, Service{Name: "limit commands"})
+	}
 	for i := range plans {
 		plans[i].Name = j.rules.Plans[i].Name
 	}
--- a/internal/lab/audit/verdict.go
+++ b/internal/lab/audit/verdict.go
@@ -14,6 +14,7 @@
 	RuleCold     = "no cold backend pushed over"
 	RuleCeiling  = "ceilings kept"
 	RuleQuota    = "quotas kept"
+	RuleTakes    = "limit commands answered as they should be"
 	RuleBad      = "bad clients turned down"
 	RuleLimits   = "memory and descriptors"
 	RuleRunning  = "no crash"
@@ -22,7 +23,7 @@
 
 // Names returns the rules in the order in which they are reported.
 func Names() []string {
-	return []string{RuleAnswer, RuleEffect, RuleDrain, RuleCold, RuleCeiling, RuleQuota, RuleBad, RuleLimits, RuleRunning}
+	return []string{RuleAnswer, RuleEffect, RuleDrain, RuleCold, RuleCeiling, RuleQuota, RuleTakes, RuleBad, RuleLimits, RuleRunning}
 }
 
 // Evidence is one breach of a rule.
@@ -95,6 +96,9 @@
 	RanTwice    int             `json:"ran_twice"` // keys with more than one effect, whoever is to blame
 	CPUEach     time.Duration   `json:"cpu_per_request_ns"`
 	LateWindows int             `json:"late_windows"`
+	Takes       int             `json:"limit_commands"`
+	Granted     float64         `json:"granted_units"` // by them
+	Local       int             `json:"granted_locally"`
 }
 
 // State is the verdict in one word.
@@ -170,6 +174,7 @@
 	j.drains()
 	j.cold()
 	j.quotas(&v)
+	j.takes(&v.Counts)
 	j.bad()
 	j.limits()
 	j.service(&v)
--- /dev/null
+++ b/internal/lab/counter.go
@@ -0,0 +1,43 @@
+package lab
+
+import (
+	"net"
+	"time"
+
+	"linnetbend/internal/standin/counter"
+	"linnetbend/internal/standin/link"
+	"linnetbend/internal/standin/respstore"
+)
+
+// sharedCounter is what holds the site's counts, and what can be done to it.
+type sharedCounter interface {
+	Links() []*link.Link
+	SetTrouble(counter.Trouble)
+	Split(half map[string]int)
+	Join(keep int)
+	Forget()
+	Close()
+}
+
+// openCounter starts the stand-in that the site asks for.
+func (s *Site) openCounter(ways []*link.Link) (sharedCounter, error) {
+	if s.Store == storeRESP {
+		listeners := make([]net.Listener, len(ways))
+		for i, w := range ways {
+			listeners[i] = w
+		}
+		return &store{respstore.Over(nil, "", s.Seed, listeners...), ways}, nil
+	}
+	return counter.Start(counter.Config{PerSecond: max(950, 10*s.Rate), Parts: 2, Service: time.Millisecond, Conns: 32,
+		Idle: 10 * time.Second, Seed: s.Seed, MostRecords: mostCalls}, ways...)
+}
+
+// store is a RESP store in the counter's place.
+type store struct {
+	*respstore.Store
+	ways []*link.Link
+}
+
+func (s *store) Links() []*link.Link          { return s.ways }
+func (s *store) SetTrouble(t counter.Trouble) { s.Store.SetTrouble(respstore.Trouble(t)) }
+func (s *store) Forget()                      { s.Empty() }
--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -388,7 +388,7 @@
 func (l *Lab) noticeDead(ctx context.Context, g *gatewayProcess) {
 	l.later(ctx, frontNotice, func() {
 		if g.pid() == 0 {
-			l.front.Leave(g.rank)
+			l.leaveOut(g)
 		}
 	})
 }
@@ -427,7 +427,7 @@
 func gatewayRestart(ctx context.Context, l *Lab, _ *Fault, targets []int) (func() error, error) {
 	for _, t := range targets {
 		g := l.gateways[t]
-		l.later(ctx, frontLeaves, func() { l.front.Leave(g.rank) }) // new connections still come for a while
+		l.later(ctx, frontLeaves, func() { l.leaveOut(g) }) // new connections still come for a while
 		killed, err := l.retireGateway(g)
 		if err != nil {
 			return nil, err
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,6 +31,7 @@
 	Voters  int
 	Tool    func(args ...string) *exec.Cmd // a run of the operators' tool
 	Gateway string                         // the gateway's program, as agents start it
+	Fronts  int                            // so many agents take limit commands, the first ones
 	Rollout map[string]any                 // the table of the revision's file
 }
 
@@ -48,11 +50,13 @@
 // agentProcess is one agent of a fleet.
 type agentProcess struct {
 	name, address, file, socket string
+	limits                      string // where it takes limit commands; "": nowhere
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
 	output tail
+	back   func() // ends the excuse for limit commands that it held when it was killed; nil: there is none
 }
 
 // openFleet starts agents, joins the voters and has the first revision applied.
@@ -60,18 +64,23 @@
 	f := l.site.fleet
 	var addresses []string
 	for i, g := range l.gateways {
-		at, err := ownPort(2 * i)
+		at, err := ownPort()
 		if err != nil {
 			return fmt.Errorf("%s: %w", g.name, err)
 		}
 		g.mu.Lock()
 		g.address = at
 		g.mu.Unlock()
-		if at, err = ownPort(2*i + 1); err != nil {
+		if at, err = ownPort(); err != nil {
 			return fmt.Errorf("%s: %w", g.name, err)
 		}
-		a := &agentProcess{name: fmt.Sprint("a", i), address: at, file: filepath.Join(l.dir, fmt.Sprintf("a%d.toml", i)),
+		a := &agentProcess{name: agentName(i), address: at, file: filepath.Join(l.dir, fmt.Sprintf("a%d.toml", i)),
 			socket: filepath.Join(l.dir, fmt.Sprintf("a%d.sock", i))}
+		if i < f.Fronts {
+			if a.limits, err = ownPort(); err != nil {
+				return fmt.Errorf("%s: %w", a.name, err)
+			}
+		}
 		l.agents = append(l.agents, a)
 		if i < f.Voters {
 			addresses = append(addresses, at)
@@ -85,10 +94,14 @@
 		if i == 0 {
 			voters = nil // it founds the site
 		}
-		text, err := toml.Marshal(object{"name": a.name, "dir": "d" + a.name, "listen": a.address, "socket": a.socket, "plain": true, "voter": i < f.Voters,
+		file := object{"name": a.name, "dir": "d" + a.name, "listen": a.address, "socket": a.socket, "plain": true, "voter": i < f.Voters,
 			"voters": voters, "gateway": f.Gateway,
 			"timing":   object{"report": "200ms", "heartbeat": "500ms", "settle": "3s", "fetch_within": "6s", "first_pause": "200ms"},
-			"instance": []object{{"name": l.gateways[i].name, "listen": l.gateways[i].address, "env": []string{"TMPDIR=" + l.dir}}}})
+			"instance": []object{{"name": l.gateways[i].name, "listen": l.gateways[i].address, "env": []string{"TMPDIR=" + l.dir}}}}
+		if a.limits != "" {
+			file["resp"] = object{"listen": a.limits, "most_clients": mostTakers}
+		}
+		text, err := toml.Marshal(file)
 		if err != nil {
 			return err
 		}
@@ -133,18 +146,24 @@
 			}
 		}
 		if ready == len(l.gateways) {
-			return nil
+			break
 		}
 		if time.Now().After(limit) || l.ctx.Err() != nil {
 			return fmt.Errorf("%d of %d gateways are ready", ready, len(l.gateways))
 		}
 	}
+	for i := range f.Fronts {
+		if err := l.awaitTaker(l.ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// ownPort finds a port on a loopback address that nobody else uses: agents and
-// their gateways start again on theirs.
-func ownPort(n int) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%200, 201+n/200, 1+n%200))
+// ownPort finds a port on a loopback address that nobody else uses: gateways and
+// agents start again on theirs.
+func ownPort() (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%200, 1+rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		return "", err
 	}
@@ -160,7 +179,7 @@
 	delete(settings, "rank")
 	delete(settings, "locality")
 	gateway := object{"settings": settings, "limits": object{"cores": 1.0, "memory_mb": s.MemoryMB, "sockets": s.Sockets}}
-	file := object{"gateway": gateway, "site": object{}, "rollout": s.fleet.Rollout}
+	file := object{"gateway": gateway, "site": s.shared(s.fleet.Fronts), "rollout": s.fleet.Rollout}
 	if change != nil {
 		change(file)
 	}
@@ -207,7 +226,7 @@
 	l.wg.Go(func() { cmd.Wait(); close(exited) })
 	for limit := time.Now().Add(fleetReady); ; wait.For(l.ctx, fleetLook) {
 		if _, err := os.Stat(a.socket); err == nil {
-			return nil
+			return l.takerBack(l.ctx, i)
 		}
 		select {
 		case <-exited:
@@ -226,6 +245,7 @@
 	a.mu.Lock()
 	cmd, exited := a.cmd, a.exited
 	a.mu.Unlock()
+	l.killTaker(i)
 	if err := cmd.Process.Kill(); err != nil {
 		return fmt.Errorf("%s: %w", a.name, err)
 	}
@@ -336,9 +356,9 @@
 		g.mu.Unlock()
 		switch {
 		case ready && before != Serving:
-			l.front.Take(g.rank, g.address)
+			l.takeIn(g)
 		case !ready && before == Serving:
-			l.front.Leave(g.rank)
+			l.leaveOut(g)
 		}
 	}
 }
@@ -429,6 +449,9 @@
 			return nil, err
 		}
 	}
+	if (f.Fronts > 0) != (s.Takes > 0) || f.Fronts > s.Gateways {
+		return nil, errors.New("fleet: fronts are needed for takes, and for nothing else, one an agent at most")
+	}
 	for _, fault := range s.Faults {
 		if strings.HasPrefix(fault.Kind, "gateway-") {
 			return nil, fmt.Errorf("fleet: the fault %s is for gateways that the lab runs", fault.Kind)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -56,7 +56,8 @@
 	arrivals []load.Arrival
 	gateways []*gatewayProcess
 	nodes    []*node
-	counter  *counter.Counter
+	limits   *load.Front // who takes limit commands; nil: nobody does
+	counter  sharedCounter
 	registry *registry.Registry
 	agents   []*agentProcess // of a fleet, each with the gateway of its place
 	keeper   *os.File        // while it is open, the lab lives
@@ -73,6 +74,7 @@
 	end     time.Time
 	tries   [][]audit.Try // in pieces: to grow one long list would hold up all who add to it
 	triesIn int
+	takes   []audit.Take
 	late    []audit.Window
 	excused []audit.Window
 	news    []audit.Window
@@ -140,7 +142,7 @@
 		return nil, fmt.Errorf("site: %w", err)
 	}
 	_, arrivals, err := load.Timeline(load.Config{Seed: site.Seed, Rate: site.Rate, For: site.For, Gateways: site.Gateways,
-		Plans: site.plans(), Classes: site.classes(), Surges: site.surges(), Greedy: site.Greedy})
+		Plans: site.plans(), Classes: site.classes(), Surges: site.surges(), Greedy: site.Greedy, GreedyIn: planIndex(site.GreedyIn), Takes: site.Takes})
 	if err != nil {
 		return nil, err
 	}
@@ -200,9 +202,13 @@
 			command: func(listen string) *exec.Cmd { return o.command(listen, l.nodeAddresses(o.name)) }})
 	}
 	l.front = load.NewFront(callers)
+	if s.Takes > 0 {
+		l.limits = load.NewFront(l.takers())
+	}
 	h := Habits
 	h.Honour = max(0, s.Honour)
-	l.clients = &load.Clients{Seed: s.Seed, Habits: h, Plans: s.plans(), Classes: s.classes(), Front: l.front, Sink: l, Units: 1, Slack: ruleSlack}
+	l.clients = &load.Clients{Seed: s.Seed, Habits: h, Plans: s.plans(), Classes: s.classes(), Front: l.front, Sink: l, Units: 1, Slack: ruleSlack,
+		Limits: l.limits, Gateways: s.Gateways, TakeWithin: takeWithin}
 
 	links := func(each int, names []string) (list []*link.Link, err error) {
 		for range each {
@@ -242,9 +248,7 @@
 	if err != nil {
 		return err
 	}
-	l.counter, err = counter.Start(counter.Config{PerSecond: max(950, 10*s.Rate), Parts: 2, Service: time.Millisecond, Conns: 32,
-		Idle: 10 * time.Second, Seed: s.Seed, MostRecords: mostCalls}, ways...)
-	if err != nil {
+	if l.counter, err = s.openCounter(ways); err != nil {
 		return err
 	}
 	if ways, err = links(sides, names); err != nil {
@@ -344,6 +348,9 @@
 		if l.front != nil {
 			l.front.Close()
 		}
+		if l.limits != nil {
+			l.limits.Close()
+		}
 		for _, n := range l.nodes {
 			n.Close()
 		}
@@ -396,6 +403,17 @@
 	l.triesIn++
 }
 
+// Take takes what a client of limit commands saw.
+func (l *Lab) Take(t audit.Take) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.takes) >= mostTries {
+		l.lost++
+		return
+	}
+	l.takes = append(l.takes, t)
+}
+
 // excuse notes that what a gateway holds from now on is lost by the lab's own
 // doing, until the returned function is called.
 func (l *Lab) excuse(g *gatewayProcess, what string) (end func()) {
@@ -473,6 +491,7 @@
 	for _, piece := range l.tries {
 		log.Tries = append(log.Tries, piece...)
 	}
+	log.Takes = append(log.Takes, l.takes...)
 	log.Late = append(log.Late, l.late...)
 	log.Excused = append(log.Excused, l.excused...)
 	log.Deaf = append(log.Deaf, l.news...)
--- a/internal/lab/load/clients.go
+++ b/internal/lab/load/clients.go
@@ -39,19 +39,26 @@
 // Sink takes what clients saw. Its methods are called from many goroutines.
 type Sink interface {
 	Try(audit.Try)
+	Take(audit.Take)
 	Late(from, to time.Time, what string)
 }
 
 // Clients play a timeline against gateways.
 type Clients struct {
-	Seed     uint64
-	Habits   Habits
-	Plans    []Plan
-	Classes  []Class
-	Front    *Front
-	Sink     Sink
-	Units    float64       // of each request
-	Slack    time.Duration // on a try's time
+	Seed    uint64
+	Habits  Habits
+	Plans   []Plan
+	Classes []Class
+	Front   *Front
+	Sink    Sink
+	Units   float64       // of each request
+	Slack   time.Duration // on a try's time
+
+	// Of limit commands:
+	Limits     *Front        // those who take them
+	Gateways   int           // of the site
+	TakeWithin time.Duration // a take that names no wait is owed its answer
+
 	mu       sync.Mutex
 	open     int
 	overrun  bool
@@ -64,6 +71,7 @@
 	Served, Refused   int
 	Failed, Unhandled int
 	Retries           int
+	Takes, Granted    int      // limit commands, and takes that got units
 	ByClass, ByPlan   [][2]int // first tries over, and those of them served
 }
 
@@ -102,21 +110,27 @@
 		if late := time.Since(due); late > lateDealing {
 			c.Sink.Late(due, due.Add(late), fmt.Sprintf("an arrival was dealt out %v late", late.Round(time.Millisecond)))
 		}
-		if !c.begin() {
+		if !c.begin(a) {
 			c.Sink.Late(due, due, fmt.Sprintf("over %d requests were out at once, and one was left out", mostOpen))
 			continue
 		}
 		wg.Go(func() {
 			defer c.end()
+			if a.Take {
+				c.take(ctx, a, due)
+				return
+			}
 			c.request(ctx, a, due)
 		})
 	}
 }
 
-func (c *Clients) begin() bool {
+func (c *Clients) begin(a *Arrival) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.progress.First++
+	if !a.Take {
+		c.progress.First++
+	}
 	if c.open >= mostOpen {
 		return false
 	}
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -130,6 +130,13 @@
 type sink struct {
 	mu    sync.Mutex
 	tries []audit.Try
+	takes []audit.Take
+}
+
+func (s *sink) Take(t audit.Take) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takes = append(s.takes, t)
 }
 
 func (s *sink) Try(t audit.Try) {
--- /dev/null
+++ b/internal/lab/load/takes_test.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"linnetbend/internal/lab/audit"
+	"linnetbend/internal/resp"
+)
+
+// Limit commands are a share of the timeline, and the rest of it is as without them.
+func TestTakesAreAShareOfTheTimeline(t *testing.T) {
+	c := config()
+	_, without, err := Timeline(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Takes = 0.3
+	_, with, err := Timeline(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for i := range with {
+		if with[i].Take {
+			n++
+		}
+		with[i].Take = false
+	}
+	if share := float64(n) / float64(len(with)); share < 0.25 || share > 0.35 {
+		t.Errorf("%.2f are limit commands", share)
+	}
+	if !reflect.DeepEqual(with, without) {
+		t.Error("the rest of the timeline is another")
+	}
+}
+
+// taker is a server that answers limit commands as answer says, and remembers them.
+type taker struct {
+	mu   sync.Mutex
+	seen [][]string
+}
+
+func (k *taker) serve(t *testing.T, answer func(w *resp.Writer, args []string) bool) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				r := resp.NewReader(c, replyBounds)
+				for {
+					words, _, err := r.Command(nil, nil)
+					if err != nil {
+						return
+					}
+					var args []string
+					for _, w := range words {
+						args = append(args, string(w))
+					}
+					k.mu.Lock()
+					k.seen = append(k.seen, args)
+					k.mu.Unlock()
+					w := resp.Writer{Version: 2}
+					if !answer(&w, args) {
+						return
+					}
+					c.Write(w.Buf)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	return l.Addr().String()
+}
+
+// playTakes plays so many arrivals of one customer as limit commands.
+func playTakes(t *testing.T, n int, answer func(w *resp.Writer, args []string) bool) (*sink, *taker) {
+	t.Helper()
+	k := &taker{}
+	front := NewFront([]string{"a0"})
+	front.Take(0, k.serve(t, answer))
+	defer front.Close()
+	s := &sink{}
+	cfg := config()
+	c := &Clients{Seed: 1, Plans: cfg.Plans, Classes: cfg.Classes, Limits: front, Sink: s, Units: 1, Gateways: 3, TakeWithin: 5 * time.Second, Slack: time.Second}
+	customer := &Customer{ID: 9, Plan: 1, Spread: 3, First: 2}
+	var list []Arrival
+	for i := range n {
+		list = append(list, Arrival{N: i, Customer: customer, Take: true})
+	}
+	c.Play(context.Background(), time.Now(), list)
+	return s, k
+}
+
+func granted(w *resp.Writer, args []string, n float64, repeated bool) {
+	if args[0] == "CL.THROTTLE" {
+		w.Array(5)
+		for _, n := range []int64{0, 8, 7, -1, 1} {
+			w.Int(n)
+		}
+		return
+	}
+	w.Map(3)
+	w.Bulk("granted")
+	if args[0] == "LIMIT.GIVE" {
+		w.Buf = w.Buf[:0]
+		w.Map(3)
+		w.Bulk("given")
+	}
+	w.Double(n)
+	w.Bulk("source")
+	w.Bulk("local")
+	w.Bulk("repeated")
+	w.Bool(repeated)
+}
+
+// All forms of limit commands are played, their figures are read, and what repeats a
+// token goes out on a connection of its own.
+func TestTakesAreOfAllForms(t *testing.T) {
+	had := map[string]bool{}
+	var mu sync.Mutex
+	s, k := playTakes(t, 300, func(w *resp.Writer, args []string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		at := slices.Index(args, "ID")
+		again := at > 0 && args[0] == "LIMIT.TAKE" && had[args[at+1]]
+		if at > 0 {
+			had[args[at+1]] = true
+		}
+		granted(w, args, 1, again)
+		return true
+	})
+	forms := map[string]int{}
+	for _, args := range k.seen {
+		forms[args[0]]++
+		for _, word := range []string{"ID", "WAIT", "PARTIAL"} {
+			if slices.Contains(args, word) {
+				forms[word]++
+			}
+		}
+		if line := strings.Join(args, " "); args[0] == "CL.THROTTLE" && line != "CL.THROTTLE 0000000000000009 7 46 10" ||
+			args[0] != "CL.THROTTLE" && !strings.HasSuffix(line, "PLAN council SPREAD 3 FIRST 2") {
+			t.Fatal(line)
+		}
+	}
+	for _, f := range []string{"LIMIT.TAKE", "CL.THROTTLE", "LIMIT.GIVE", "ID", "WAIT", "PARTIAL"} {
+		if forms[f] == 0 {
+			t.Errorf("no %s: %v", f, forms)
+		}
+	}
+	repeats, gives, dropped := 0, 0, 0
+	for _, take := range s.takes {
+		switch {
+		case take.Outcome == audit.Unfinished:
+			dropped++
+		case take.Outcome != audit.Served || take.Granted != 1 && take.Asked == 1:
+			t.Fatalf("%+v", take)
+		case take.Gives:
+			gives++
+		case take.Number == 1:
+			if repeats++; !take.Repeated || take.Pooled {
+				t.Errorf("a repeat: %+v", take)
+			}
+		case take.Repeated:
+			t.Errorf("a first take was taken for a repeat: %+v", take)
+		}
+	}
+	if repeats == 0 || gives == 0 || dropped == 0 {
+		t.Errorf("%d repeats, %d gives, %d dropped", repeats, gives, dropped)
+	}
+}
+
+// What is no good reply is told as what it is.
+func TestTakesTellWhatWentWrong(t *testing.T) {
+	for name, k := range map[string]struct {
+		answer func(w *resp.Writer, args []string) bool
+		want   audit.Outcome
+		says   string
+	}{
+		"an error":   {func(w *resp.Writer, _ []string) bool { w.Error("ERR what"); return true }, audit.Failed, "ERR what"},
+		"no figures": {func(w *resp.Writer, _ []string) bool { w.Simple("OK"); return true }, audit.Failed, "a reply without granted"},
+		"noise":      {func(w *resp.Writer, _ []string) bool { w.Buf = []byte("!!\r\n"); return true }, audit.Failed, "Protocol error"},
+		"a close":    {func(w *resp.Writer, _ []string) bool { return false }, audit.Closed, ""},
+		"none left":  {func(w *resp.Writer, a []string) bool { granted(w, a, 0, false); return true }, audit.Refused, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := playTakes(t, 12, k.answer)
+			n := 0
+			for _, take := range s.takes {
+				if take.Outcome == k.want && strings.Contains(take.Error, k.says) {
+					n++
+				}
+			}
+			if n < 8 {
+				t.Errorf("%d of %d: %s", n, len(s.takes), fmt.Sprintf("%+v", s.takes))
+			}
+		})
+	}
+}
--- a/internal/lab/load/timeline.go
+++ b/internal/lab/load/timeline.go
@@ -45,7 +45,9 @@
 	Plans    []Plan
 	Classes  []Class
 	Surges   []Surge
-	Greedy   float64 // an extra account of the first plan asks for so many times its quota, all the time; 0: none
+	Greedy   float64 // an extra account asks for so many times its quota, all the time; 0: none
+	GreedyIn int     // its plan
+	Takes    float64 // share of all that comes as limit commands
 }
 
 // The customers' habits: shares of accounts, and what part of its quota an
@@ -94,6 +96,7 @@
 	Customer *Customer
 	Class    int
 	Gateway  int
+	Take     bool // a limit command, to whoever takes them
 }
 
 // Timeline draws the customers and all that they will first ask for.
@@ -115,7 +118,7 @@
 		}
 	}
 	if c.Greedy > 0 {
-		g := c.customer(r, 0, func(*rand.Rand, time.Duration) []spell { return []spell{{c.For, c.Greedy}} })
+		g := c.customer(r, c.GreedyIn, func(*rand.Rand, time.Duration) []spell { return []spell{{c.For, c.Greedy}} })
 		g.Spread = c.Gateways
 		g.shifts = []shift{{c.For, even(c.Gateways)}}
 		all = append(all, g)
@@ -128,8 +131,10 @@
 	if len(arrivals) > mostArrivals {
 		return nil, nil, fmt.Errorf("load: %d requests are more than the lab holds (%d)", len(arrivals), mostArrivals)
 	}
+	r = rand.New(rand.NewPCG(c.Seed, 2)) // its own, so that the rest is the same without limit commands
 	for i := range arrivals {
 		arrivals[i].N = i
+		arrivals[i].Take = r.Float64() < c.Takes
 	}
 	return all, arrivals, nil
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -56,6 +55,7 @@
 
 	mu      sync.Mutex
 	address string
+	limits  string // where it takes limit commands; "": nowhere
 	state   State
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
@@ -107,16 +107,6 @@
 	return g.cmd.Process.Pid
 }
 
-// freePort finds a port that was free a moment ago.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // startGateway starts a gateway and waits until it is ready. Its first port may
 // be taken by another process between finding and using it: then it gets another.
 func (l *Lab) startGateway(ctx context.Context, g *gatewayProcess) error {
@@ -125,18 +115,27 @@
 		fresh := g.starts == 0 || try > 1
 		g.mu.Unlock()
 		if fresh {
-			address, err := freePort()
+			address, err := ownPort()
 			if err != nil {
 				return fmt.Errorf("%s: %w", g.name, err)
 			}
+			limits := ""
+			if l.takesLimits(g) {
+				if limits, err = ownPort(); err != nil {
+					return fmt.Errorf("%s: %w", g.name, err)
+				}
+			}
 			g.mu.Lock()
-			g.address = address
+			g.address, g.limits = address, limits
 			g.mu.Unlock()
 		}
 		err := l.spawnGateway(ctx, g)
 		if err == nil || ctx.Err() != nil || try >= startTries || !strings.Contains(g.output.String(), "address already in use") {
 			return err
 		}
+		g.mu.Lock()
+		g.died = "" // the lab's own doing
+		g.mu.Unlock()
 	}
 }
 
@@ -148,10 +147,14 @@
 		if err := l.writeConfig(g); err != nil {
 			return err
 		}
+		operators, err := l.writeOperators(g)
+		if err != nil {
+			return err
+		}
 		cmd = exec.Command(l.binary)
 		cmd.Env = append(os.Environ(), "EDGE_NAME="+g.name, "EDGE_LISTEN="+g.address, "EDGE_DISCOVERY="+l.discoveryOf(g),
 			"EDGE_CONFIG="+g.configPath(), "TMPDIR="+g.dir)
-		cmd.Env = append(cmd.Env, l.site.env...)
+		cmd.Env = append(append(cmd.Env, operators...), l.site.env...)
 	}
 	cmd.Dir = g.dir
 	cmd.Stdout, cmd.Stderr = &g.output, &g.output
@@ -194,7 +197,7 @@
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				g.setState(Serving)
-				l.front.Take(g.rank, g.address)
+				l.takeIn(g)
 				return nil
 			}
 		}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"linnetbend/internal/lab/audit"
 	"linnetbend/internal/lab/load"
 	"linnetbend/internal/standin/backend"
@@ -29,6 +31,9 @@
 	Sockets  int // a gateway's limit
 	Faults   []Fault
 	Greedy   float64 // one account asks for so many times its quota, all the time
+	GreedyIn string  // its plan
+	Takes    float64 // share of what accounts ask for that comes as limit commands, over RESP
+	Store    string  // the shared counter: "http", the platform's, or "resp"
 	Honour   float64 // share of clients that wait as Retry-After says; below 0: none
 	Ceiling  float64 // hard ceiling on every plan, in times its quota; 0: none
 
@@ -68,6 +73,11 @@
 	mostRate          = 5000
 	mostFor           = 30 * time.Minute
 	mostProduct       = 1000 // gateways times nodes: each pair has a listener
+	storeHTTP         = "http"
+	storeRESP         = "resp"
+	mostTakers        = 4096                                    // connections for limit commands, of one process
+	takeWorth         = 1.0                                     // of a unit, as of a lookup
+	takeWithin        = 100*time.Millisecond + 2*counterTimeout // of a take that names no wait
 )
 
 func (s *Site) defaults() {
@@ -87,6 +97,8 @@
 	set(&s.Honour, defaultHonour)
 	set(&s.Overshoot, DefaultOvershoot)
 	set(&s.SpareUnits, DefaultSpareUnits)
+	set(&s.GreedyIn, planShapes[0].name)
+	set(&s.Store, storeHTTP)
 	if s.Log == nil {
 		s.Log = func(string, ...any) {}
 	}
@@ -125,6 +137,12 @@
 		return wrong("busy", "%g is not above 0 and at most 3", s.Busy)
 	case s.For < time.Second || s.For > mostFor:
 		return wrong("for", "%v is not between 1s and %v", s.For, mostFor)
+	case !(s.Takes >= 0 && s.Takes <= 1):
+		return wrong("takes", "%g is not between 0 and 1", s.Takes)
+	case s.Store != storeHTTP && s.Store != storeRESP:
+		return wrong("store", "%q is neither %q nor %q", s.Store, storeHTTP, storeRESP)
+	case planIndex(s.GreedyIn) < 0:
+		return wrong("greedy_in", "there is no plan %q", s.GreedyIn)
 	case s.Cores < 1:
 		return wrong("cores", "%d is below 1", s.Cores)
 	case s.Cells < 1 || s.Cells > s.Nodes:
@@ -223,7 +241,7 @@
 	r := audit.Rules{
 		Classes: []audit.Class{{Name: "lookup", Effect: audit.Safe, Aim: lookupAim, Worth: 1},
 			{Name: "booking", Effect: audit.Keyed, Window: dedupeWindow, Aim: bookingAim, Worth: 3}},
-		Slack: ruleSlack, DrainGrace: drainGrace, Overshoot: s.Overshoot, SpareUnits: s.SpareUnits, BadOwed: badOwed,
+		TakeWorth: takeWorth, Slack: ruleSlack, DrainGrace: drainGrace, Overshoot: s.Overshoot, SpareUnits: s.SpareUnits, BadOwed: badOwed,
 		MemoryMB: s.MemoryMB, Files: s.Sockets}
 	for _, p := range planShapes {
 		plan := audit.Plan{Name: p.name, Rate: p.rate, Burst: p.burst(), Price: p.price}
@@ -280,6 +298,33 @@
 	return append(text, '\n')
 }
 
+// operators is the operator's file of a gateway that takes limit commands at an
+// address; it is empty where all is as by default.
+func (s *Site) operators(limits string) []byte {
+	file := s.shared(0)
+	if limits != "" {
+		file["resp"] = object{"listen": limits, "most_clients": mostTakers}
+	}
+	text, err := toml.Marshal(file)
+	if err != nil {
+		panic(err) // it is made of nothing that could fail
+	}
+	return text
+}
+
+// shared is what all processes of the site have in their operator's files. Fronts
+// grant units beside the gateways.
+func (s *Site) shared(fronts int) object {
+	file := object{}
+	if s.Store == storeRESP {
+		file["counter"] = object{"kind": "resp"}
+	}
+	if fronts > 0 {
+		file["quotas"] = object{"fronts": fronts}
+	}
+	return file
+}
+
 // Check finds what could not be played, without starting anything.
 func (s *Site) Check() error {
 	full := *s
--- a/internal/standin/respstore/respstore.go
+++ b/internal/standin/respstore/respstore.go
@@ -7,6 +7,9 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -27,19 +30,32 @@
 	Delay             time.Duration // before each answer to EXEC
 }
 
-// Store is one store at one address.
+// Trouble is what the store does wrong to a share of the transactions. The zero
+// value is none.
+type Trouble struct {
+	Late    time.Duration // answers come so much later
+	Refuse  float64       // share turned away: it loads
+	Spoil   float64       // share added but answered without a number
+	Endless float64       // share added whose answer has no end
+	Double  float64       // share added twice
+}
+
+// Store is one store.
 type Store struct {
-	password string
-	listener net.Listener
-	wg       sync.WaitGroup
+	password  string
+	listeners []net.Listener // one for each caller, or one for all
+	wg        sync.WaitGroup
 
-	mu     sync.Mutex
-	closed bool
-	fault  Fault
-	items  map[string]*item
-	conns  map[net.Conn]struct{}
-	calls  int // transactions that added
-	dials  int
+	mu      sync.Mutex
+	closed  bool
+	fault   Fault
+	trouble Trouble
+	rng     *rand.Rand
+	split   map[string]int      // the half that a caller sees; nil: all see one
+	halves  [2]map[string]*item // the second is used while split alone
+	conns   map[net.Conn]struct{}
+	calls   int // transactions that added
+	dials   int
 }
 
 type item struct {
@@ -54,21 +70,32 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{password: password, listener: l, items: map[string]*item{}, conns: map[net.Conn]struct{}{}}
-	accept := l
-	if set != nil {
-		accept = tls.NewListener(l, set)
+	return Over(set, password, 1, l), nil
+}
+
+// Over opens a store behind listeners that the caller has made. Where their
+// connections tell whose they are (Peer), the store can be split by caller. Seed draws which
+// transactions have trouble.
+func Over(set *tls.Config, password string, seed uint64, listeners ...net.Listener) *Store {
+	s := &Store{password: password, listeners: listeners, halves: [2]map[string]*item{{}, {}}, conns: map[net.Conn]struct{}{},
+		rng: rand.New(rand.NewPCG(seed, 8))}
+	for _, l := range listeners {
+		if set != nil {
+			l = tls.NewListener(l, set)
+		}
+		s.wg.Go(func() { s.accept(l) })
 	}
-	s.wg.Go(func() { s.accept(accept) })
-	return s, nil
+	return s
 }
 
-// Address is where it listens.
-func (s *Store) Address() string { return s.listener.Addr().String() }
+// Address is where it listens, the first of its listeners.
+func (s *Store) Address() string { return s.listeners[0].Addr().String() }
 
 // Close ends it with all connections.
 func (s *Store) Close() {
-	s.listener.Close()
+	for _, l := range s.listeners {
+		l.Close()
+	}
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
@@ -78,6 +105,34 @@
 	s.wg.Wait()
 }
 
+// SetTrouble replaces what goes wrong from now on.
+func (s *Store) SetTrouble(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble = t
+}
+
+// Split gives each caller one of two halves, which go on from the same numbers and
+// do not hear of each other. A caller that is not named sees half 0.
+func (s *Store) Split(half map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.split = maps.Clone(half)
+	s.halves[1] = map[string]*item{}
+	for name, it := range s.halves[0] {
+		same := *it
+		s.halves[1][name] = &same
+	}
+}
+
+// Join ends a split. The numbers of the given half stay; the other's are lost.
+func (s *Store) Join(keep int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.split = nil
+	s.halves = [2]map[string]*item{s.halves[keep&1], {}}
+}
+
 // Set switches faults.
 func (s *Store) Set(f Fault) {
 	s.mu.Lock()
@@ -89,14 +144,15 @@
 func (s *Store) Empty() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	clear(s.items)
+	clear(s.halves[0])
+	clear(s.halves[1])
 }
 
 // Put sets a number, which never ends.
 func (s *Store) Put(name string, total float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items[name] = &item{total: total}
+	s.halves[0][name] = &item{total: total}
 }
 
 // Total is a number's present value, and how long it still has; 0: for ever, or
@@ -104,7 +160,7 @@
 func (s *Store) Total(name string) (total float64, left time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	it := s.item(name)
+	it := s.item(0, name)
 	if it == nil {
 		return 0, 0
 	}
@@ -121,11 +177,11 @@
 	return s.calls, s.dials
 }
 
-// item returns what lives under a name, or nil. The lock is held.
-func (s *Store) item(name string) *item {
-	it := s.items[name]
+// item returns what lives under a name of a half, or nil. The lock is held.
+func (s *Store) item(half int, name string) *item {
+	it := s.halves[half][name]
 	if it != nil && !it.ends.IsZero() && !time.Now().Before(it.ends) {
-		delete(s.items, name)
+		delete(s.halves[half], name)
 		return nil
 	}
 	return it
@@ -163,11 +219,20 @@
 	multi  bool
 	failed bool // what was queued has an error
 	queue  [][]string
+	stuck  bool   // its last answer has no end
+	peer   string // whose connection it is, where that is known
+	came   func() time.Time
 }
 
 func (s *Store) serve(conn net.Conn) {
 	r := resp.NewReader(conn, resp.Bounds{Args: 64, Bulk: 64 << 10, Total: 256 << 10})
-	c := &client{in: s.password == "", w: resp.Writer{Version: 2}}
+	c := &client{in: s.password == "", w: resp.Writer{Version: 2}, came: time.Now}
+	if whose, ok := conn.(interface {
+		Peer() string
+		Came() time.Time
+	}); ok {
+		c.peer, c.came = whose.Peer(), whose.Came
+	}
 	for {
 		words, _, err := r.Command(nil, nil)
 		if err != nil {
@@ -185,6 +250,10 @@
 		if _, err := conn.Write(c.w.Buf); err != nil || !goOn {
 			return
 		}
+		if c.stuck {
+			io.Copy(io.Discard, conn) // of no further use, but it stays open until its caller leaves
+			return
+		}
 	}
 }
 
@@ -222,14 +291,28 @@
 	default:
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.run(&c.w, args)
+		s.run(&c.w, s.split[c.peer], args)
 	}
 	return true
 }
 
+func (s *Store) chance(share float64) bool { return share > 0 && s.rng.Float64() < share }
+
 func (s *Store) exec(c *client, fault Fault) bool {
 	c.multi = false
 	time.Sleep(fault.Delay)
+	s.mu.Lock()
+	trouble := s.trouble
+	double := s.chance(trouble.Double)
+	endless := s.chance(trouble.Endless)
+	if s.chance(trouble.Spoil) {
+		fault.Spoilt = true
+	}
+	if s.chance(trouble.Refuse) {
+		fault.Exec = "LOADING the dataset is being read"
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Until(c.came().Add(trouble.Late)))
 	switch {
 	case c.failed:
 		c.w.Error("EXECABORT Transaction discarded because of previous errors.")
@@ -242,10 +325,16 @@
 	defer s.mu.Unlock()
 	s.calls++
 	c.w.Array(len(c.queue))
+	half := s.split[c.peer]
 	for _, args := range c.queue {
-		s.run(&c.w, args)
+		if double {
+			s.run(&resp.Writer{Version: 2}, half, args)
+		}
+		s.run(&c.w, half, args)
 	}
 	switch {
+	case endless:
+		c.w.Buf, c.stuck = []byte("*2\r\n$1000\r\n1"), true
 	case fault.Lost:
 		c.w.Buf = nil
 		return false
@@ -259,7 +348,7 @@
 }
 
 // run answers what works on numbers. The lock is held.
-func (s *Store) run(w *resp.Writer, args []string) {
+func (s *Store) run(w *resp.Writer, half int, args []string) {
 	switch name := strings.ToUpper(args[0]); {
 	case name == "INCRBYFLOAT" && len(args) == 3:
 		n, err := strconv.ParseFloat(args[2], 64)
@@ -267,16 +356,16 @@
 			w.Error("ERR value is not a valid float")
 			return
 		}
-		it := s.item(args[1])
+		it := s.item(half, args[1])
 		if it == nil {
 			it = &item{}
-			s.items[args[1]] = it
+			s.halves[half][args[1]] = it
 		}
 		it.total += n
 		w.Bulk(strconv.FormatFloat(it.total, 'f', -1, 64))
 	case name == "PEXPIRE" && len(args) == 4 && strings.ToUpper(args[3]) == "NX":
 		n, err := strconv.ParseInt(args[2], 10, 64)
-		it := s.item(args[1])
+		it := s.item(half, args[1])
 		switch {
 		case err != nil:
 			w.Error("ERR value is not an integer or out of range")
