--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -22,6 +22,7 @@
 	"linnetbend/internal/config"
 	"linnetbend/internal/gateway"
 	"linnetbend/internal/site"
+	"linnetbend/internal/telemetry"
 )
 
 const defaultSite = "deploy/site.toml"
@@ -49,6 +50,10 @@
 	if c.Site, err = operatorsFile(); err != nil {
 		return err
 	}
+	export, err := telemetry.FromSite(c.Site.Telemetry, os.Getenv, c.Name)
+	if err != nil {
+		return fmt.Errorf("telemetry: %w", err)
+	}
 	if operator := os.Getenv("EDGE_OPERATOR"); operator != "" {
 		c.Operator = operator
 	}
@@ -66,7 +71,7 @@
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * c.Site.Memory.HeapShare))
 	debug.SetGCPercent(c.Site.Memory.HeapGrow)
 	log.SetPrefix(c.Name + " ")
-	return gateway.Run(ctx, &c, fd, gateway.Reload{Signal: hup, Read: func() (config.Config, error) {
+	return gateway.Run(ctx, &c, fd, export, gateway.Reload{Signal: hup, Read: func() (config.Config, error) {
 		next, err := config.Read(path)
 		if fd >= 0 {
 			next.Share()
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -49,6 +49,7 @@
 	sent     float64
 	deadline float64
 	until    time.Time // the deadline for sockets
+	context  string    // the header traceparent; "": what the client sent goes on
 	ended    bool
 	streams  bool // its answer passes through
 
@@ -391,7 +392,7 @@
 		defer close(x.upload.finished)
 		left = seconds(x.left)
 	}
-	if err := x.request(left).Write(c.w); err != nil {
+	if err := a.request(left).Write(c.w); err != nil {
 		return err
 	}
 	if err := c.w.Flush(); err != nil {
@@ -406,12 +407,16 @@
 
 // request is what goes to the backend: the client's own, with the time that
 // this attempt has.
-func (x *exchange) request(left time.Duration) *http.Request {
+func (a *attempt) request(left time.Duration) *http.Request {
+	x := a.x
 	header := make(http.Header, len(x.header))
 	for k, v := range x.header {
 		header[k] = v
 	}
 	header[leftHeader] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	if a.context != "" {
+		header[parentHeader] = []string{a.context}
+	}
 	r := &http.Request{Method: x.method, Host: x.host, Header: header, URL: &url.URL{Opaque: x.uri}}
 	switch {
 	case x.upload != nil && x.upload.length >= 0:
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -17,6 +17,7 @@
 	"linnetbend/internal/site"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
+	"linnetbend/stories"
 )
 
 const (
@@ -53,6 +54,8 @@
 	upload *upload     // where it is not; the client's time runs from its end
 	left   float64     // seconds that the client waits from then
 
+	story *stories.Begin // nil where nothing is exported
+
 	// reply takes the one final answer; the loop sends it and never waits.
 	reply chan answer
 
@@ -66,6 +69,8 @@
 type answer struct {
 	status     int
 	retryAfter float64 // seconds; 0: no advice
+	why        rules.Reason
+	paid       float64 // when its quota let it in, of one that was turned away
 	header     http.Header
 	body       []byte
 	rest       *download // in place of body: the answer passes through
@@ -207,6 +212,9 @@
 		x.ask.Deadline += max(time.Until(x.upload.until).Seconds(), 0)
 	}
 	x.header = passedOn(r.Header)
+	if f.loop.telemetry != nil {
+		x.story = f.storyOf(x)
+	}
 	return x, 0, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"linnetbend/internal/discovery"
 	"linnetbend/internal/owner"
 	"linnetbend/internal/respfront"
+	"linnetbend/internal/telemetry"
 	"linnetbend/rules"
 )
 
@@ -34,8 +36,9 @@
 }
 
 // Run serves clients until ctx ends, then answers what it holds and returns. Fd is
-// the clients' listening socket where that came with the process, else below 0.
-func Run(ctx context.Context, c *config.Config, fd int, reload Reload) error {
+// the clients' listening socket where that came with the process, else below 0. Export
+// says where stories and metrics go; nil: nowhere.
+func Run(ctx context.Context, c *config.Config, fd int, export *telemetry.Settings, reload Reload) error {
 	var listener net.Listener
 	var err error
 	if fd < 0 {
@@ -47,14 +50,14 @@
 		return fmt.Errorf("clients: %w", err)
 	}
 	if c.Operator == "" {
-		return serve(ctx, c, listener, nil, reload)
+		return serve(ctx, c, listener, nil, export, reload)
 	}
 	desk, err := net.Listen("tcp", c.Operator)
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("operator: %w", err)
 	}
-	return serve(ctx, c, listener, desk, reload)
+	return serve(ctx, c, listener, desk, export, reload)
 }
 
 // inherited makes a listener of a descriptor that came with the process.
@@ -79,7 +82,7 @@
 }
 
 // serve is Run on sockets that are open. Desk is the operators', or nil.
-func serve(ctx context.Context, c *config.Config, listener, desk net.Listener, reload Reload) error {
+func serve(ctx context.Context, c *config.Config, listener, desk net.Listener, export *telemetry.Settings, reload Reload) error {
 	most := mostClients(c)
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
 	c.Settings.Fronts = c.Site.Quotas.Fronts
@@ -98,6 +101,13 @@
 
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	if export != nil {
+		set := *export
+		deployed(&set.Stories, c.Classes, c.ClassNames, c.PlanNames)
+		front.loop.share = set.Stories.Share
+		front.loop.telemetry = telemetry.Start(set, front.loop.Clock.Now, front.loop.figures, slog.Default())
+		defer front.loop.telemetry.Close() // last of all: no answer waits for it
+	}
 	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"linnetbend/internal/config"
 	"linnetbend/internal/discovery"
 	"linnetbend/internal/site"
+	"linnetbend/internal/telemetry"
 	"linnetbend/internal/testpeer"
 	"net"
 	"net/http"
@@ -30,6 +31,7 @@
 	ended    chan error
 	hup      chan os.Signal
 	config   atomic.Pointer[string] // what a reload reads
+	export   *telemetry.Settings
 }
 
 // newRig starts a gateway that knows the given backends and waits until it is
@@ -67,7 +69,7 @@
 	r.config.Store(&text)
 	reload := Reload{r.hup, func() (config.Config, error) { return config.Parse([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, reload) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, r.export, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -9,8 +9,10 @@
 	"linnetbend/internal/config"
 	"linnetbend/internal/discovery"
 	"linnetbend/internal/owner"
+	"linnetbend/internal/telemetry"
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
+	"linnetbend/stories"
 )
 
 const (
@@ -89,6 +91,9 @@
 	pools    *pools
 	onListed func()
 
+	telemetry *telemetry.Telemetry // nil: nothing is exported
+	share     float64              // of stories
+
 	attempts sync.WaitGroup // those that use sockets
 
 	live  map[rules.RequestID]*exchange // until the last attempt has ended
@@ -119,6 +124,7 @@
 func (l *Loop) leave(x *exchange) {
 	if x.open {
 		x.open = false
+		l.tell(x, stories.Event{Kind: stories.Left})
 		l.Handle(rules.ClientGone{Request: x.ask.ID})
 		l.drop(x)
 		return
@@ -152,6 +158,7 @@
 	}
 	x.ask.ID, x.open = l.NewID(), true
 	l.live[x.ask.ID] = x
+	l.tell(x, stories.Event{Kind: stories.Began, Begin: x.story})
 	l.Handle(x.ask)
 }
 
@@ -174,7 +181,7 @@
 		ev.Entries = append(ev.Entries, b)
 		l.ever.add(i.ID)
 		if b.State == rules.Ready {
-			l.names[b.ID] = listed{i.ID, i.HostPort, b.Born}
+			l.names[b.ID] = listed{i.ID, i.HostPort, i.Zone, b.Born}
 			if _, out := l.out[i.ID]; !out {
 				l.pools.update(b.ID, i.HostPort, b.Born)
 			}
@@ -202,7 +209,7 @@
 
 // Refuse answers a request: trying again is harmless.
 func (l *Loop) Refuse(a rules.Refuse) {
-	l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
+	l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter, why: a.Why, paid: a.Paid})
 }
 
 // Fail answers a request that may have run.
@@ -273,6 +280,7 @@
 	a.until = l.Clock.At(a.deadline)
 	x.attempts = append(x.attempts, a)
 	x.out++
+	l.tellSent(a, s.Paid)
 	if !x.open || a.number >= max(l.deploy.MaxAttempts, 1) || a.deadline <= now {
 		l.endAttempt(a, result{outcome: rules.Moot})
 		return
@@ -326,6 +334,7 @@
 	a.ended = true
 	x := a.x
 	x.out--
+	l.tell(x, stories.Event{Kind: stories.Ended, Attempt: a.number, Outcome: res.outcome})
 	if res.outcome == rules.Served && x.open {
 		header := passedOn(res.header)
 		header.Del(loadHeader) // for gateways, not for clients
@@ -358,6 +367,7 @@
 		return
 	}
 	x.open = false
+	l.tell(x, answered(a))
 	x.reply <- a // it has room for one, and one is all it gets
 	l.drop(x)
 }
@@ -383,8 +393,8 @@
 
 // listed is what discovery says of a ready backend.
 type listed struct {
-	name, address string
-	born          float64
+	name, address, zone string
+	born                float64
 }
 
 // everListed remembers the ids of backends that discovery told of, the newest
--- /dev/null
+++ b/internal/gateway/story.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+
+	"linnetbend/internal/telemetry"
+	"linnetbend/rules"
+	"linnetbend/stories"
+)
+
+const (
+	parentHeader = "Traceparent"
+	stateHeader  = "Tracestate"
+)
+
+// storyOf begins the story of a request: its client's, where that sent a valid
+// context, else the one that its key stands for, else one of its own. The headers for the other side follow
+// it.
+func (f *frontend) storyOf(x *exchange) *stories.Begin {
+	h := x.header
+	client, valid := stories.ParseContext(h[parentHeader], h[stateHeader])
+	key := h.Get(keyHeader)
+	self := client
+	binary.BigEndian.PutUint64(self.Span[:], max(rand.Uint64(), 1))
+	if !valid {
+		self.State = ""
+		if key != "" {
+			self.Trace = stories.KeyTrace(uint64(x.ask.Customer), key)
+		} else {
+			binary.BigEndian.PutUint64(self.Trace[:8], max(rand.Uint64(), 1))
+			binary.BigEndian.PutUint64(self.Trace[8:], rand.Uint64())
+		}
+		self.Sampled = stories.InShare(self.Trace, f.loop.share)
+	}
+	delete(h, stateHeader)
+	if self.State != "" {
+		h[stateHeader] = []string{self.State}
+	}
+	return &stories.Begin{Context: client, Self: self, Client: x.id, Account: uint64(x.ask.Customer), Class: x.ask.Class, Plan: x.ask.Plan,
+		Units: x.ask.Units, Method: x.method, Key: key != "", Repeated: x.ask.Repeat, Sent: x.ask.Sent}
+}
+
+// tell hands an event of a request over, if it has a story.
+func (l *Loop) tell(x *exchange, e stories.Event) {
+	if x.story == nil {
+		return
+	}
+	e.Request, e.At = x.ask.ID, l.Clock.Now()
+	l.telemetry.Tell(e)
+}
+
+// tellSent tells of an attempt, and gives it the context that goes with it.
+func (l *Loop) tellSent(a *attempt, paid float64) {
+	if a.x.story == nil {
+		return
+	}
+	at := a.x.story.Self
+	binary.BigEndian.PutUint64(at.Span[:], max(rand.Uint64(), 1))
+	a.context = at.Parent()
+	b := l.names[a.backend]
+	l.tell(a.x, stories.Event{Kind: stories.Sent, Attempt: a.number, Span: at.Span, Backend: b.name, Zone: b.zone, Paid: paid})
+}
+
+// figures tells the exporter of the module.
+func (l *Loop) figures(ctx context.Context) (f telemetry.Figures, err error) {
+	f.Figures, f.Calls, err = l.Figures(ctx)
+	return f, err
+}
+
+// answered is the event of a final answer.
+func answered(a answer) stories.Event {
+	return stories.Event{Kind: stories.Answered, Status: a.status, Reason: a.why, Paid: a.paid, RetryAfter: a.retryAfter}
+}
+
+// deployed is what stories need of a deployment.
+func deployed(set *stories.Settings, classes []rules.Class, names, plans []string) {
+	set.Classes, set.Plans = names, plans
+	for _, c := range classes {
+		set.Aims = append(set.Aims, c.Aim)
+	}
+}
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -52,6 +52,7 @@
 		return
 	}
 	k.ended, k.outcome, k.total = true, out, total
+	o.ended[out]++
 	for line := o.calls[k.Name]; len(line) > 0 && line[0].ended; line = o.calls[k.Name] {
 		k := line[0]
 		if o.calls[k.Name] = line[1:]; len(line) == 1 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"time"
 
@@ -55,6 +56,7 @@
 	moment  float64                    // of the batch that is being handed over; 0: none is
 	asking  *Check                     // whose event the module has just now; nil: none
 	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
+	ended   [rules.Moot + 1]uint64     // calls, by outcome
 	timers  timerHeap
 	actions []rules.Action
 	pending []rules.Event // events that actions brought about
@@ -77,6 +79,37 @@
 	o.act(o.actions)
 }
 
+// Figures tells of the module at a moment, and of the calls to the counter so far by
+// outcome.
+func (o *Owner) Figures(ctx context.Context) (f rules.Figures, calls [rules.Moot + 1]uint64, err error) {
+	q := figures{o, make(chan struct{}), &f, &calls}
+	if !o.Post(q) {
+		return f, calls, errEnded
+	}
+	select {
+	case <-q.done:
+		return f, calls, nil
+	case <-ctx.Done():
+		return rules.Figures{}, [rules.Moot + 1]uint64{}, ctx.Err()
+	case <-o.stopped:
+		return rules.Figures{}, [rules.Moot + 1]uint64{}, errEnded
+	}
+}
+
+var errEnded = errors.New("the owner has ended")
+
+type figures struct {
+	o     *Owner
+	done  chan struct{}
+	f     *rules.Figures
+	calls *[rules.Moot + 1]uint64
+}
+
+func (q figures) Take() {
+	*q.f, *q.calls = q.o.gateway.Figures(), q.o.ended
+	close(q.done)
+}
+
 // Post tells the owner something. It returns false once the owner has ended.
 func (o *Owner) Post(m Message) bool {
 	select {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +24,23 @@
 	Quotas  Quotas  `toml:"quotas" doc:"who draws on the quotas"`
 	Counter Counter `toml:"counter" doc:"the shared counter"`
 	RESP    RESP    `toml:"resp" doc:"limit commands over RESP"`
+
+	Telemetry Telemetry `toml:"telemetry" doc:"traces and metrics, to a collector by OTLP"`
+}
+
+// Telemetry says what is exported to a collector of OpenTelemetry.
+type Telemetry struct {
+	Endpoint string            `toml:"endpoint" doc:"URL of a collector that takes OTLP over HTTP, such as http://127.0.0.1:4318; default what OTEL_EXPORTER_OTLP_ENDPOINT says, else none, and nothing is exported"`
+	Headers  map[string]string `toml:"headers" doc:"headers of each call, such as one with a token; default none"`
+	Service  string            `toml:"service" doc:"service.name; default what OTEL_SERVICE_NAME says, else elderyard"`
+	Traces   bool              `toml:"traces" doc:"whether traces are exported; default true"`
+	Metrics  bool              `toml:"metrics" doc:"whether metrics are exported; default true"`
+	Share    float64           `toml:"share" doc:"share of the requests whose story is kept whatever became of them; 0 to 1, default 0.01"`
+	Keep     []string          `toml:"keep" doc:"stories that are kept beside the share: failed, refused, late, repeated; default failed, late and repeated"`
+	Interval strict.Duration   `toml:"interval" doc:"between metrics; 100ms to 1h, default 10s"`
+	Timeout  strict.Duration   `toml:"timeout" doc:"of a call to the collector; 100ms to 1m, default 10s"`
+	Flush    strict.Duration   `toml:"flush" doc:"for what has not left when the process ends, after the last answer; 0s to 10s, default 500ms"`
+	QueueKB  int               `toml:"queue_kb" doc:"what may wait for the collector, of traces and of metrics each; 64 to 65536, default 1024"`
 }
 
 // Quotas tells who else draws on them.
@@ -81,7 +100,9 @@
 // Defaults are the settings of a gateway without the file.
 func Defaults() Settings {
 	return Settings{Clients: Clients{SocketShare: 0.75, MemoryShare: 0.25}, Memory: Memory{HeapShare: 0.7, HeapGrow: 400},
-		Counter: Counter{Kind: "http", Prefix: "elderyard:"}, RESP: RESP{Most: 64, Idle: strict.Duration(5 * time.Minute)}}
+		Counter: Counter{Kind: "http", Prefix: "elderyard:"}, RESP: RESP{Most: 64, Idle: strict.Duration(5 * time.Minute)},
+		Telemetry: Telemetry{Traces: true, Metrics: true, Share: 0.01, Keep: []string{"failed", "late", "repeated"}, Interval: strict.Duration(10 * time.Second),
+			Timeout: strict.Duration(10 * time.Second), Flush: strict.Duration(500 * time.Millisecond), QueueKB: 1024}}
 }
 
 // Read reads the file at path. Where there is none, the defaults hold.
@@ -112,6 +133,8 @@
 		{"memory.heap_share", s.Memory.HeapShare, 0.3, 0.9},
 		{"memory.heap_grow", float64(s.Memory.HeapGrow), 50, 1000},
 		{"quotas.fronts", float64(s.Quotas.Fronts), 0, 64},
+		{"telemetry.share", s.Telemetry.Share, 0, 1},
+		{"telemetry.queue_kb", float64(s.Telemetry.QueueKB), 64, 65536},
 	} {
 		if !(r.value >= r.least && r.value <= r.most) {
 			return Settings{}, strict.At(file, text, r.key, "%g is not between %g and %g", r.value, r.least, r.most)
@@ -134,9 +157,35 @@
 	case len(k.Prefix) > 64:
 		return "counter.prefix", errors.New("it is longer than 64 bytes")
 	}
+	if key, err := s.Telemetry.check(); err != nil {
+		return key, err
+	}
 	return s.RESP.Check()
 }
 
+func (t *Telemetry) check() (key string, err error) {
+	for _, d := range []struct {
+		key         string
+		value       strict.Duration
+		least, most time.Duration
+	}{{"interval", t.Interval, 100 * time.Millisecond, time.Hour}, {"timeout", t.Timeout, 100 * time.Millisecond, time.Minute}, {"flush", t.Flush, 0, 10 * time.Second}} {
+		if v := time.Duration(d.value); v < d.least || v > d.most {
+			return "telemetry." + d.key, fmt.Errorf("%v is not between %v and %v", v, d.least, d.most)
+		}
+	}
+	if t.Endpoint != "" {
+		if u, err := url.Parse(t.Endpoint); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			return "telemetry.endpoint", fmt.Errorf("%q is not a URL of http or https", t.Endpoint)
+		}
+	}
+	for i, k := range t.Keep {
+		if !slices.Contains([]string{"failed", "refused", "late", "repeated"}, k) {
+			return fmt.Sprintf("telemetry.keep[%d]", i), fmt.Errorf("%q is none of failed, refused, late, repeated", k)
+		}
+	}
+	return "", nil
+}
+
 // Check finds what is wrong with the settings of a front, with the key that it
 // stands at, which begins with "resp".
 func (r *RESP) Check() (key string, err error) {
--- /dev/null
+++ b/internal/telemetry/encode.go
@@ -0,0 +1,123 @@
+package telemetry
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+
+	colmetrics "go.opentelemetry.io/proto/slim/otlp/collector/metrics/v1"
+	coltrace "go.opentelemetry.io/proto/slim/otlp/collector/trace/v1"
+	common "go.opentelemetry.io/proto/slim/otlp/common/v1"
+	metrics "go.opentelemetry.io/proto/slim/otlp/metrics/v1"
+	resource "go.opentelemetry.io/proto/slim/otlp/resource/v1"
+	trace "go.opentelemetry.io/proto/slim/otlp/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"linnetbend/stories"
+)
+
+// scopeName is what all signals are said to come from.
+const scopeName = "elderyard"
+
+// Bits of a span's flags beside W3C's: whether its parent is another process's.
+const (
+	flagSampled   = 0x1
+	flagHasRemote = 0x100
+	flagIsRemote  = 0x200
+)
+
+func value(v any) *common.AnyValue {
+	switch v := v.(type) {
+	case string:
+		return &common.AnyValue{Value: &common.AnyValue_StringValue{StringValue: v}}
+	case bool:
+		return &common.AnyValue{Value: &common.AnyValue_BoolValue{BoolValue: v}}
+	case int64:
+		return &common.AnyValue{Value: &common.AnyValue_IntValue{IntValue: v}}
+	case float64:
+		return &common.AnyValue{Value: &common.AnyValue_DoubleValue{DoubleValue: v}}
+	}
+	panic(fmt.Sprintf("attribute of type %T", v)) // no attribute of ours has another
+}
+
+func attributes(list []stories.Attr) (out []*common.KeyValue) {
+	for _, a := range list {
+		out = append(out, &common.KeyValue{Key: a.Key, Value: value(a.Value)})
+	}
+	return out
+}
+
+// encoder makes messages that name their process.
+type encoder struct {
+	resource *resource.Resource
+	scope    *common.InstrumentationScope
+}
+
+func newEncoder(attrs []stories.Attr) *encoder {
+	return &encoder{&resource.Resource{Attributes: attributes(attrs)}, &common.InstrumentationScope{Name: scopeName}}
+}
+
+// spans packs spans into one message.
+func (e *encoder) spans(list []stories.Span) (batch, error) {
+	made := &trace.ScopeSpans{Scope: e.scope}
+	for i := range list {
+		s := &list[i]
+		span := &trace.Span{TraceId: s.Trace[:], SpanId: s.ID[:], TraceState: s.State, Name: s.Name, Kind: trace.Span_SpanKind(s.Kind),
+			StartTimeUnixNano: stories.Nanos(s.Start), EndTimeUnixNano: stories.Nanos(s.End), Attributes: attributes(s.Attrs),
+			Flags: flagHasRemote, Status: &trace.Status{}}
+		if s.Parent != (stories.SpanID{}) {
+			span.ParentSpanId = s.Parent[:]
+			if s.Kind == stories.Server {
+				span.Flags |= flagIsRemote
+			}
+		}
+		if s.Sampled {
+			span.Flags |= flagSampled
+		}
+		if s.Failed {
+			span.Status = &trace.Status{Code: trace.Status_STATUS_CODE_ERROR, Message: s.Message}
+		}
+		made.Spans = append(made.Spans, span)
+	}
+	return pack(&coltrace.ExportTraceServiceRequest{ResourceSpans: []*trace.ResourceSpans{{Resource: e.resource, ScopeSpans: []*trace.ScopeSpans{made}}}}, len(list))
+}
+
+// metrics packs points into one message.
+func (e *encoder) metrics(list []*metrics.Metric) (batch, error) {
+	points := 0
+	for _, m := range list {
+		points += len(m.GetSum().GetDataPoints()) + len(m.GetGauge().GetDataPoints()) + len(m.GetExponentialHistogram().GetDataPoints())
+	}
+	return pack(&colmetrics.ExportMetricsServiceRequest{ResourceMetrics: []*metrics.ResourceMetrics{{Resource: e.resource,
+		ScopeMetrics: []*metrics.ScopeMetrics{{Scope: e.scope, Metrics: list}}}}}, points)
+}
+
+func pack(m proto.Message, items int) (batch, error) {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return batch{}, fmt.Errorf("telemetry: %w", err)
+	}
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return batch{}, fmt.Errorf("telemetry: %w", err)
+	}
+	z.Write(text) // into memory: it can't fail
+	if err := z.Close(); err != nil {
+		return batch{}, fmt.Errorf("telemetry: %w", err)
+	}
+	return batch{b.Bytes(), items}, nil
+}
+
+// What the collector may say of a message that it took.
+type (
+	traceReply struct {
+		coltrace.ExportTraceServiceResponse
+	}
+	metricsReply struct {
+		colmetrics.ExportMetricsServiceResponse
+	}
+)
+
+func (r *traceReply) rejected() int64   { return r.GetPartialSuccess().GetRejectedSpans() }
+func (r *metricsReply) rejected() int64 { return r.GetPartialSuccess().GetRejectedDataPoints() }
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,376 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"linnetbend/internal/site"
+	"linnetbend/internal/standin/collector"
+	"linnetbend/internal/standin/link"
+	"linnetbend/internal/testpeer"
+	"linnetbend/rules"
+	"linnetbend/stories"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func now() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+func newCollector(t *testing.T) *collector.Collector {
+	t.Helper()
+	l, err := link.Listen("g0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := collector.Start(1, l)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func settings(address string) Settings {
+	return Settings{Endpoint: "http://" + address, Resource: []stories.Attr{{Key: "service.name", Value: "elderyard"}, {Key: "service.instance.id", Value: "g0"}},
+		Traces: true, Metrics: true, Interval: 100 * time.Millisecond, Timeout: testpeer.Patience, Flush: testpeer.Patience, QueueBytes: 1 << 20,
+		Stories: stories.Settings{Classes: []string{"lookup"}, Plans: []string{"basic"}, Aims: []float64{0.5}, Share: 1}}
+}
+
+func figures(context.Context) (Figures, error) {
+	return Figures{Figures: rules.Figures{Bound: 4, InFlight: 1, Held: []int{0, 2}, Well: 3}, Calls: [stories.Outcomes]uint64{7}}, nil
+}
+
+// request tells of one request that is served, n of the test.
+func request(x *Telemetry, n int) {
+	var self stories.Context
+	binary.BigEndian.PutUint64(self.Trace[:8], uint64(n)+1)
+	binary.BigEndian.PutUint64(self.Trace[8:], uint64(n+1)*0x9e3779b97f4a7c15) // as good as random
+	binary.BigEndian.PutUint64(self.Span[:], uint64(n)+1)
+	at, id := now(), rules.RequestID(n+1)
+	x.Tell(stories.Event{Kind: stories.Began, At: at, Request: id, Begin: &stories.Begin{Self: self, Method: "GET", Sent: at, Repeated: n%4 == 3}})
+	span := self.Span
+	span[0] = 1
+	x.Tell(stories.Event{Kind: stories.Sent, At: at, Request: id, Span: span, Backend: "n0", Paid: at})
+	x.Tell(stories.Event{Kind: stories.Ended, At: at + 0.01, Request: id, Outcome: rules.Served})
+	x.Tell(stories.Event{Kind: stories.Answered, At: at + 0.01, Request: id, Status: 200})
+}
+
+// until waits for something to become true.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testpeer.Patience); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func noFlaws(t *testing.T, c *collector.Collector) {
+	t.Helper()
+	for _, f := range c.Flaws() {
+		t.Errorf("the specification is broken: %s", f)
+	}
+}
+
+// All that was told arrives, and every metric of the list is exported.
+func TestAllArrives(t *testing.T) {
+	c := newCollector(t)
+	x := Start(settings(c.Address("g0")), now, figures, quiet)
+	const n = 1000
+	for i := range n {
+		request(x, i)
+		if i%100 == 99 {
+			until(t, "the events are taken", func() bool { return len(x.events) == 0 })
+		}
+	}
+	x.Close()
+	if spans := c.Spans(); len(spans) != 2*n {
+		t.Errorf("%d spans of %d", len(spans), 2*n)
+	}
+	for _, k := range []struct {
+		metric, attribute string
+		want              float64
+	}{{"elderyard.requests", "elderyard.class=lookup", n}, {"elderyard.requests", "elderyard.first=true", n * 3 / 4},
+		{"elderyard.request.ends", "elderyard.outcome=served", n}, {"elderyard.counter.calls", "elderyard.outcome=answered", 7},
+		{"elderyard.held", "elderyard.level=1", 2}, {"elderyard.attempts", "elderyard.outcome=served", n}} {
+		if got := c.Sum(k.metric, k.attribute); got != k.want {
+			t.Errorf("%s, %s: %g, want %g", k.metric, k.attribute, got, k.want)
+		}
+	}
+	for _, m := range Metrics() {
+		found := false
+		for _, attrs := range []string{"", "elderyard.class=lookup"} {
+			_, here := c.Get("g0", m.Name, attrs)
+			found = found || here
+		}
+		if !found && c.Sum(m.Name) == 0 && m.Attributes == "" {
+			t.Errorf("%s was not exported", m.Name)
+		}
+	}
+	if h, _ := c.Get("g0", "http.server.request.duration", "elderyard.class=lookup"); h.Value != n || len(h.Histogram.Exemplars) != 1 {
+		t.Errorf("%+v", h)
+	}
+	noFlaws(t, c)
+}
+
+// With the collector away nothing waits and no more than the bound is held; when
+// it is back, what was taken and what was dropped are all that was told.
+func TestCollectorAwayAndBack(t *testing.T) {
+	c := newCollector(t)
+	set := settings(c.Address("g0"))
+	set.QueueBytes = 16 << 10
+	x := Start(set, now, figures, quiet)
+	c.Links()[0].Down()
+	const n = 6000
+	for i := range n {
+		request(x, i)
+		if i%500 == 499 {
+			until(t, "the events are taken", func() bool { return len(x.events) == 0 })
+			if bytes, _ := x.counts.traces.queue.state(); bytes > set.QueueBytes {
+				t.Fatalf("%d bytes wait", bytes)
+			}
+		}
+	}
+	until(t, "some were dropped", func() bool { _, dropped := x.counts.traces.queue.state(); return dropped > 0 })
+	if err := c.Links()[0].Up(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the dropped ones are told", func() bool {
+		return c.Sum("elderyard.telemetry.items", "elderyard.signal=traces", "elderyard.state=dropped") > 0
+	})
+	x.Close()
+	_, dropped := x.counts.traces.queue.state()
+	missed := uint64(0)
+	for i := range x.missed {
+		missed += x.missed[i].Load()
+	}
+	if taken := len(c.Spans()); missed != 0 || uint64(taken)+dropped != 2*n || taken == 0 {
+		t.Errorf("%d taken and %d dropped of %d; %d events were missed", taken, dropped, 2*n, missed)
+	}
+	if got := c.Sum("elderyard.telemetry.items", "elderyard.signal=traces", "elderyard.state=dropped"); got != float64(dropped) {
+		t.Errorf("%g were told to be dropped, %d were", got, dropped)
+	}
+	if got := c.Sum("elderyard.requests"); got != n {
+		t.Errorf("%g requests are told of %d", got, n)
+	}
+	noFlaws(t, c)
+}
+
+// A collector that takes and never answers holds nothing up, neither the events nor
+// the end.
+func TestSilentCollector(t *testing.T) {
+	c := newCollector(t)
+	c.SetTrouble(collector.Trouble{Silent: true})
+	set := settings(c.Address("g0"))
+	set.Flush = 100 * time.Millisecond
+	x := Start(set, now, figures, quiet)
+	for i := range 3 * mostEvents { // more than there is room for, without a wait
+		request(x, i)
+	}
+	done := make(chan struct{})
+	go func() { x.Close(); close(done) }()
+	testpeer.Wait(t, done, "end")
+	_, dropped := x.counts.traces.queue.state()
+	if dropped == 0 || x.counts.traces.sent.Load() != 0 {
+		t.Errorf("%d spans were dropped, %d sent", dropped, x.counts.traces.sent.Load())
+	}
+	begun := uint64(0)
+	for _, n := range x.counts.tally.Tries {
+		begun += n
+	}
+	if begun+x.missed[stories.Began].Load() != 3*mostEvents {
+		t.Errorf("%d requests were counted and %d missed of %d", begun, x.missed[stories.Began].Load(), 3*mostEvents)
+	}
+}
+
+// Each answer of a collector, by the specification.
+func TestAnswersOfACollector(t *testing.T) {
+	for name, k := range map[string]struct {
+		trouble                collector.Trouble
+		heals                  bool
+		taken, dropped, refuse uint64 // of two spans
+	}{
+		"full for a while":  {collector.Trouble{Status: 429, RetryAfter: "1"}, true, 2, 0, 0},
+		"down for a while":  {collector.Trouble{Status: 503}, true, 2, 0, 0},
+		"no right":          {collector.Trouble{Status: 401}, false, 0, 0, 2},
+		"bad":               {collector.Trouble{Status: 400}, false, 0, 0, 2},
+		"in part":           {collector.Trouble{Refuse: 1}, false, 1, 0, 1},
+		"no answer":         {collector.Trouble{Lost: 1}, true, 2, 0, 0},
+		"an endless answer": {collector.Trouble{Endless: true}, false, 2, 0, 0},
+		"moved":             {collector.Trouble{Status: 307}, false, 0, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCollector(t)
+			c.SetTrouble(k.trouble)
+			set := settings(c.Address("g0"))
+			set.Metrics = false
+			x := Start(set, now, figures, quiet)
+			request(x, 0)
+			s := x.counts.traces
+			until(t, "it was tried", func() bool { return s.failures.Load()+s.sent.Load()+s.rejected.Load() > 0 })
+			if k.heals {
+				c.SetTrouble(collector.Trouble{})
+			}
+			until(t, "it came to its end", func() bool { return s.sent.Load()+s.rejected.Load() == 2 })
+			x.Close()
+			_, dropped := s.queue.state()
+			if uint64(len(c.Spans())) != k.taken || dropped != k.dropped || s.rejected.Load() != k.refuse {
+				t.Errorf("%d taken, %d dropped, %d refused", len(c.Spans()), dropped, s.rejected.Load())
+			}
+			noFlaws(t, c)
+		})
+	}
+}
+
+// A hundred thousand accounts make no series more.
+func TestAccountsMakeNoSeries(t *testing.T) {
+	c := newCollector(t)
+	set := settings(c.Address("g0"))
+	set.Stories.Share = 0
+	x := Start(set, now, figures, quiet)
+	for i := range 100_000 {
+		at := now()
+		x.Tell(stories.Event{Kind: stories.Began, At: at, Request: rules.RequestID(i + 1), Begin: &stories.Begin{Account: uint64(i), Method: "GET", Sent: at}})
+		x.Tell(stories.Event{Kind: stories.Answered, At: at, Request: rules.RequestID(i + 1), Status: 429})
+		if i%1000 == 999 {
+			until(t, "the events are taken", func() bool { return len(x.events) == 0 })
+		}
+	}
+	x.Close()
+	if got := c.Sum("elderyard.request.ends", "elderyard.outcome=refused: no quota"); got != 100_000 {
+		t.Errorf("%g refusals", got)
+	}
+	if n := c.SeriesCount(); n > 60 {
+		t.Errorf("%d series", n)
+	}
+	if x.counts.teller.Open() != 0 {
+		t.Errorf("%d stories are still open", x.counts.teller.Open())
+	}
+	noFlaws(t, c)
+}
+
+// Telling an event allocates nothing.
+func TestTellingAllocatesNothing(t *testing.T) {
+	x := &Telemetry{events: make(chan stories.Event, 4)}
+	e := stories.Event{Kind: stories.Ended}
+	if n := testing.AllocsPerRun(100, func() { x.Tell(e) }); n != 0 {
+		t.Errorf("%g allocations", n)
+	}
+	if x.missed[stories.Ended].Load() == 0 {
+		t.Error("events without room were not counted")
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	var b backoff
+	last := time.Duration(0)
+	for range 20 {
+		d := b.next(0)
+		if d < b.pause/2 || d > b.pause || b.pause > mostPause || b.pause < last {
+			t.Fatalf("%v of %v", d, b.pause)
+		}
+		last = b.pause
+	}
+	if d := b.next(5 * time.Second); d < 5*time.Second || d > 5*time.Second+firstPause {
+		t.Errorf("%v where 5s were advised", d)
+	}
+	b.reset()
+	if b.next(0); b.pause != firstPause {
+		t.Errorf("%v after a success", b.pause)
+	}
+	at := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for text, want := range map[string]time.Duration{"": 0, "7": 7 * time.Second, "99999": mostAdvice, "-1": 0, "soon": 0,
+		at.Add(3 * time.Second).Format(http.TimeFormat): 3 * time.Second, at.Add(-time.Hour).Format(http.TimeFormat): 0} {
+		if got := advice(http.Header{"Retry-After": {text}}, at); got != want {
+			t.Errorf("Retry-After %q: %v, want %v", text, got, want)
+		}
+	}
+	for status, want := range map[int]verdict{200: delivered, 202: delivered, 307: final, 400: final, 401: final, 404: final, 413: final,
+		429: again, 500: final, 501: final, 502: again, 503: again, 504: again} {
+		if got := judge(status, nil); got != want {
+			t.Errorf("status %d: %v", status, got)
+		}
+	}
+	if judge(0, errors.New("x")) != again {
+		t.Error("no answer is final")
+	}
+}
+
+func TestSettings(t *testing.T) {
+	env := func(list ...string) func(string) string {
+		return func(name string) string {
+			for _, p := range list {
+				if k, v, _ := strings.Cut(p, "="); k == name {
+					return v
+				}
+			}
+			return ""
+		}
+	}
+	off := site.Defaults().Telemetry
+	if s, err := FromSite(off, env(), "g0"); s != nil || err != nil {
+		t.Fatalf("on by default: %+v %v", s, err)
+	}
+	if s, err := FromSite(off, env("OTEL_EXPORTER_OTLP_ENDPOINT=http://127.0.0.1:1", "OTEL_SDK_DISABLED=true"), "g0"); s != nil || err != nil {
+		t.Fatalf("%+v %v", s, err)
+	}
+	s, err := FromSite(off, env("OTEL_EXPORTER_OTLP_ENDPOINT=http://127.0.0.1:1/x/", "OTEL_EXPORTER_OTLP_HEADERS=a=b%20c, d=e", "OTEL_SERVICE_NAME=pl",
+		"OTEL_RESOURCE_ATTRIBUTES=team=ops,service.name=no", "OTEL_EXPORTER_OTLP_TIMEOUT=250", "OTEL_TRACES_SAMPLER=traceidratio", "OTEL_TRACES_SAMPLER_ARG=0.25"), "g0")
+	if err != nil || s.Endpoint != "http://127.0.0.1:1/x" || s.Headers["a"] != "b c" || s.Headers["d"] != "e" || s.Timeout != 250*time.Millisecond ||
+		s.Stories.Share != 0.25 || fmt.Sprint(s.Resource) != "[{service.name pl} {service.instance.id g0} {team ops}]" || !s.Stories.Keep.Late || s.Stories.Keep.Refused {
+		t.Fatalf("%+v %v", s, err)
+	}
+	on := off
+	on.Endpoint, on.Share, on.Service = "https://collector:4318", 0.5, "x"
+	if s, err = FromSite(on, env("OTEL_EXPORTER_OTLP_ENDPOINT=http://127.0.0.1:1", "OTEL_SERVICE_NAME=pl", "OTEL_TRACES_SAMPLER=always_on"), "g0"); err != nil ||
+		s.Endpoint != on.Endpoint || s.Stories.Share != 0.5 || s.Resource[0].Value != "x" {
+		t.Errorf("the file comes first: %+v %v", s, err)
+	}
+	for _, bad := range []string{"OTEL_EXPORTER_OTLP_ENDPOINT=ftp://x", "OTEL_EXPORTER_OTLP_PROTOCOL=grpc", "OTEL_EXPORTER_OTLP_HEADERS=a", "OTEL_EXPORTER_OTLP_TIMEOUT=0",
+		"OTEL_METRIC_EXPORT_INTERVAL=x", "OTEL_TRACES_SAMPLER=some", "OTEL_TRACES_SAMPLER=traceidratio", "OTEL_RESOURCE_ATTRIBUTES=a=%zz"} {
+		if s, err := FromSite(off, env(bad, "OTEL_EXPORTER_OTLP_ENDPOINT=http://127.0.0.1:1"), "g0"); err == nil {
+			t.Errorf("%s was taken: %+v", bad, s)
+		} else if name, _, _ := strings.Cut(bad, "="); !strings.Contains(err.Error(), name) && name != "OTEL_EXPORTER_OTLP_ENDPOINT" {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
+
+// The operators' page has the list of metrics as the code has it.
+func TestThePageHasAllMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operate/otlp.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Page()) {
+		t.Errorf("docs/operate/otlp.md lacks the present list:\n%s", Page())
+	}
+}
+
+// BenchmarkTell measures what an event costs the request path, and what it costs in all.
+func BenchmarkTell(b *testing.B) {
+	x := Start(Settings{Endpoint: "http://127.0.0.1:1", Interval: time.Hour, Timeout: time.Second, QueueBytes: 1 << 20, Traces: true,
+		Stories: stories.Settings{Classes: []string{"lookup"}, Plans: []string{"basic"}, Aims: []float64{0.5}, Share: 0.01}}, now, figures, quiet)
+	defer x.Close()
+	b.ReportAllocs()
+	for i := range b.N {
+		request(x, i)
+		if i%1000 == 999 {
+			for len(x.events) > 0 {
+				runtime.Gosched()
+			}
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -377,7 +377,7 @@
 	} else {
 		g.warmSent++
 	}
-	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick)})
+	g.do(Send{Request: j.ID, Backend: s.ID, Timeout: max(j.giveUp-g.now, g.set.Tick), Paid: j.paidAt})
 	if g.latency > 0 && !j.coming {
 		g.timer(g.lateAfter(), timerLate, tries, j.ID)
 	}
@@ -449,7 +449,7 @@
 	if seen || !j.streams && e.Outcome == ConnectFailed {
 		g.observe(j, a, e)
 	}
-	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && neverRan(e.Outcome) {
+	if j.out == 0 && e.Attempt == len(j.attempts)-1 && a.sent == j.mayAt && NeverRan(e.Outcome) {
 		j.mayRun = false // proved: no attempt has run
 	}
 	if e.Outcome == Served && g.set.UnitsSettled && e.Units > 0 {
@@ -523,7 +523,7 @@
 		} else if g.set.CanAdvise {
 			advice = min(g.set.MaxAdvice, max(j.customer.dryUntil-g.now, 0))
 		}
-		g.do(Refuse{Request: j.ID, RetryAfter: advice})
+		g.do(Refuse{Request: j.ID, RetryAfter: advice, Why: j.lacked(), Paid: j.paidAt})
 	} else {
 		g.do(Fail{Request: j.ID})
 	}
@@ -848,7 +848,7 @@
 		}
 		c.waiting = c.waiting[1:]
 		c.open++
-		j.paid = true
+		j.paid, j.paidAt = true, g.now
 		g.enqueue(j)
 		g.dispatch()
 	}
@@ -1121,5 +1121,5 @@
 	}
 }
 
-// neverRan tells which outcomes prove that an attempt had no effect.
-func neverRan(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
+// NeverRan tells which outcomes prove that an attempt had no effect.
+func NeverRan(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
--- a/rules/state.go
+++ b/rules/state.go
@@ -53,6 +53,7 @@
 	customer            *customer
 	level               int
 	giveUp              float64 // an answer after this earns nothing
+	paidAt              float64 // 0: it is not paid
 	paid, done, streams bool    // its units are taken; it is over; its answer has begun
 	coming              bool    // its body has not gone on whole yet
 	check, partial      bool    // a Check: it is paid, and nothing is sent
@@ -63,6 +64,17 @@
 	mayOn               *server // and where
 }
 
+// lacked tells what a request that is given back did not get.
+func (j *job) lacked() Reason {
+	switch {
+	case len(j.attempts) > 0:
+		return NoAnswer
+	case j.paid:
+		return NoPlace
+	}
+	return NoQuota
+}
+
 // patience is how long the clients of a class and plan wait for one try.
 type patience struct{ last, known float64 }
 
@@ -279,3 +291,45 @@
 	k.customer.pending(k, -1)
 	return k, true
 }
+
+// Figures tell of a moment, for people who watch.
+type Figures struct {
+	Bound                                 float64 // attempts that may be in flight
+	InFlight                              int
+	Held                                  []int // requests held back for a place, by level
+	Waiting                               int   // requests and checks that wait for units
+	Well, LeftOut, Cold, ByHand, NotReady int   // backends
+	Customers                             int
+	Leased                                float64 // units, and not spent
+}
+
+// Figures tells of the present moment. It changes nothing.
+func (g *Gateway) Figures() Figures {
+	f := Figures{Bound: g.bound, InFlight: g.inFlight, Held: make([]int, len(g.queues)), Customers: len(g.customers)}
+	for l, q := range g.queues {
+		for _, j := range q {
+			if !j.done {
+				f.Held[l]++
+			}
+		}
+	}
+	for _, s := range g.list {
+		switch {
+		case s.State != Ready:
+			f.NotReady++
+		case g.detached[s.ID]:
+			f.ByHand++
+		case s.ejected():
+			f.LeftOut++
+		case g.warmth(s) < 1:
+			f.Cold++
+		default:
+			f.Well++
+		}
+	}
+	for _, c := range g.roster {
+		f.Waiting += len(c.waiting)
+		f.Leased += max(c.units, 0)
+	}
+	return f
+}
--- a/rules/types.go
+++ b/rules/types.go
@@ -323,6 +323,7 @@
 	Request RequestID
 	Backend BackendID
 	Timeout float64
+	Paid    float64 // clock time at which its quota let it in
 }
 
 // Cancel stops waiting for an attempt.
@@ -335,8 +336,20 @@
 type Refuse struct {
 	Request    RequestID
 	RetryAfter float64
+	Why        Reason
+	Paid       float64 // as in Send; 0: it was never let in
 }
 
+// Reason says what a refused request lacked.
+type Reason int
+
+// The reasons.
+const (
+	NoQuota  Reason = iota // units of its customer's quota, or a place among its customer's
+	NoPlace                // a place in flight, or a backend, in time
+	NoAnswer               // an attempt that succeeded
+)
+
 // Fail is a final answer with no promise about the effect.
 type Fail struct{ Request RequestID }
 
