Prove at real sockets that a story goes on, is one over two gateways, and holds nothing up

The exporter was tested by itself. Tests with whole gateways, backends and a collector: a client's context goes on under the attempt's span, a key through two gateways is one trace with both halves, hostile contexts begin a story of their own, a silent collector holds up neither answers nor the end, and without an exporter a request's headers go on as they came.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,7 +31,6 @@
 	ended    chan error
 	hup      chan os.Signal
 	config   atomic.Pointer[string] // what a reload reads
-	export   *telemetry.Settings
 }
 
 // newRig starts a gateway that knows the given backends and waits until it is
@@ -43,6 +42,12 @@
 
 // newRigWith does so with another configuration.
 func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
+	t.Helper()
+	return newRigFor(t, nil, change, backends...)
+}
+
+// newRigFor does so with an exporter, unless that is nil.
+func newRigFor(t *testing.T, export *telemetry.Settings, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
 	r := &rig{registry: testpeer.NewRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
 	text := change(testpeer.ConfigText(r.registry.Address(), testpeer.Settings))
@@ -69,7 +74,7 @@
 	r.config.Store(&text)
 	reload := Reload{r.hup, func() (config.Config, error) { return config.Parse([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, r.export, reload) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, export, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
--- /dev/null
+++ b/internal/gateway/story_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	trace "go.opentelemetry.io/proto/otlp/trace/v1"
+
+	"linnetbend/internal/standin/collector"
+	"linnetbend/internal/standin/link"
+	"linnetbend/internal/telemetry"
+	"linnetbend/internal/testpeer"
+	"linnetbend/stories"
+)
+
+const (
+	clientTrace  = "4bf92f3577b34da6a3ce929d0e0e4736"
+	clientParent = "00-" + clientTrace + "-00f067aa0ba902b7-01"
+)
+
+func newCollector(t *testing.T) *collector.Collector {
+	t.Helper()
+	l, err := link.Listen("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := collector.Start(1, l)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// exporting are the settings of a gateway that exports all stories.
+func exporting(c *collector.Collector, name string) *telemetry.Settings {
+	return &telemetry.Settings{Endpoint: "http://" + c.Address(""), Traces: true, Metrics: true, Interval: 100 * time.Millisecond, Timeout: patience,
+		Flush: patience, QueueBytes: 1 << 20, Stories: stories.Settings{Share: 1},
+		Resource: []stories.Attr{{Key: "service.name", Value: "elderyard"}, {Key: "service.instance.id", Value: name}}}
+}
+
+func same(text string) string { return text }
+
+// end stops a gateway, and so has it send what it has.
+func (r *rig) end(t *testing.T) {
+	t.Helper()
+	r.stop()
+	if err := testpeer.Wait(t, r.ended, "end"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func noFlaws(t *testing.T, c *collector.Collector) {
+	t.Helper()
+	for _, f := range c.Flaws() {
+		t.Errorf("the specification is broken: %s", f)
+	}
+}
+
+// A client's context goes on to the backend, under the span of the attempt, and all of
+// the request is a part of its story.
+func TestAClientsStoryGoesOn(t *testing.T) {
+	c, backend := newCollector(t), newPeer(t)
+	r := newRigFor(t, exporting(c, "g0"), same, backend)
+	_, answers := r.client(t, ask("POST", "booking", "x", "Traceparent", clientParent, "Tracestate", "rojo=1"))
+	conn, br := backend.Accept(t)
+	req, _ := readRequest(t, br)
+	total(conn, 200, "ok")
+	if got := wait(t, answers, "answer"); got.StatusCode != 200 {
+		t.Fatal(got.Status)
+	}
+	went, ok := stories.ParseContext(req.Header["Traceparent"], req.Header["Tracestate"])
+	if !ok || hex.EncodeToString(went.Trace[:]) != clientTrace || went.State != "rojo=1" || !went.Sampled {
+		t.Errorf("went on: %v", req.Header)
+	}
+	r.end(t)
+	kinds := map[trace.Span_SpanKind]collector.Span{}
+	for _, s := range c.Trace(clientTrace) {
+		kinds[s.Kind] = s
+	}
+	server, attempt := kinds[trace.Span_SPAN_KIND_SERVER], kinds[trace.Span_SPAN_KIND_CLIENT]
+	if server.Span == nil || attempt.Span == nil || hex.EncodeToString(server.ParentSpanId) != "00f067aa0ba902b7" ||
+		string(attempt.ParentSpanId) != string(server.SpanId) || string(attempt.SpanId) != string(went.Span[:]) || server.Instance != "g0" {
+		t.Errorf("%+v", kinds)
+	}
+	noFlaws(t, c)
+}
+
+// A keyed request whose first gateway could not serve it and that goes through a
+// second one, marked by its key alone, is one story with both halves.
+func TestAKeyThroughTwoGatewaysIsOneStory(t *testing.T) {
+	c, backend := newCollector(t), newPeer(t)
+	one, two := newRigFor(t, exporting(c, "g0"), same, backend), newRigFor(t, exporting(c, "g1"), same, backend)
+	for i, r := range []*rig{one, two} {
+		_, answers := r.client(t, ask("POST", "payment", "x", "Traceparent", "00-hostile", "Tracestate", "a=1"))
+		conn, br := backend.Accept(t)
+		req, _ := readRequest(t, br)
+		if req.Header.Get("Tracestate") != "" {
+			t.Error("the state of a context that is not valid went on")
+		}
+		if i == 0 {
+			conn.Close() // after its last byte: it may have run
+			if got := wait(t, answers, "answer"); got.StatusCode == 200 {
+				t.Fatal(got.Status)
+			}
+			continue
+		}
+		total(conn, 200, "ok")
+		if got := wait(t, answers, "answer"); got.StatusCode != 200 {
+			t.Fatal(got.Status)
+		}
+	}
+	one.end(t)
+	two.end(t)
+	roots := map[string]string{}
+	for _, s := range c.Spans() {
+		if s.Kind == trace.Span_SPAN_KIND_SERVER {
+			roots[s.Instance] = hex.EncodeToString(s.TraceId)
+		}
+	}
+	if len(roots) != 2 || roots["g0"] != roots["g1"] {
+		t.Errorf("stories by gateway: %v", roots)
+	}
+	if n := c.Sum("elderyard.request.ends", "elderyard.outcome=served"); n != 1 {
+		t.Errorf("%g were served", n)
+	}
+	noFlaws(t, c)
+}
+
+// Without an exporter a request goes on as it came, context and all.
+func TestOffChangesNothing(t *testing.T) {
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, answers := r.client(t, ask("GET", "lookup", "", "Traceparent", "00-hostile", "Tracestate", "a=1", "Baggage", "x=y"))
+	conn, br := backend.Accept(t)
+	req, _ := readRequest(t, br)
+	total(conn, 200, "ok")
+	wait(t, answers, "answer")
+	for name, want := range map[string]string{"Traceparent": "00-hostile", "Tracestate": "a=1", "Baggage": "x=y"} {
+		if req.Header.Get(name) != want {
+			t.Errorf("%s: %q", name, req.Header.Get(name))
+		}
+	}
+}
+
+// Hostile contexts are no reason to turn a request down, and begin a story of its own.
+func TestHostileContexts(t *testing.T) {
+	c, backend := newCollector(t), newPeer(t)
+	r := newRigFor(t, exporting(c, "g0"), same, backend)
+	for _, parent := range []string{"", "00-" + strings.Repeat("0", 32) + "-" + strings.Repeat("0", 16) + "-01", strings.Repeat("f", 4000), "ff" + clientParent[2:]} {
+		_, answers := r.client(t, ask("GET", "lookup", "", "Traceparent", parent, "Tracestate", strings.Repeat("a=1,", 900), "Connection", "close"))
+		conn, br := backend.Accept(t)
+		req, _ := readRequest(t, br)
+		total(conn, 200, "ok")
+		conn.Close()
+		if got := wait(t, answers, "answer"); got.StatusCode != http.StatusOK {
+			t.Fatal(got.Status)
+		}
+		if _, ok := stories.ParseContext(req.Header["Traceparent"], req.Header["Tracestate"]); !ok || req.Header.Get("Tracestate") != "" {
+			t.Errorf("%.20q went on as %v", parent, req.Header)
+		}
+	}
+	r.end(t)
+	noFlaws(t, c)
+}
+
+// With a collector that takes and never answers, requests are answered as ever and the
+// gateway ends within its time.
+func TestASilentCollectorHoldsNothingUp(t *testing.T) {
+	c, backend := newCollector(t), newPeer(t)
+	c.SetTrouble(collector.Trouble{Silent: true})
+	set := exporting(c, "g0")
+	set.Flush = 100 * time.Millisecond
+	r := newRigFor(t, set, same, backend)
+	_, answers := r.client(t, ask("GET", "lookup", ""))
+	conn, br := backend.Accept(t)
+	readRequest(t, br)
+	total(conn, 200, "ok")
+	if got := wait(t, answers, "answer"); got.StatusCode != http.StatusOK {
+		t.Fatal(got.Status)
+	}
+	r.end(t)
+}
