--- a/cmd/elderctl/lab.go
+++ b/cmd/elderctl/lab.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +16,7 @@
 	"linnetbend/internal/files"
 	"linnetbend/internal/lab"
 	"linnetbend/internal/lab/audit"
+	"linnetbend/internal/otlpfile"
 )
 
 // labFlags are what `elderctl lab` is asked.
@@ -20,6 +24,7 @@
 	scenario string
 	site     lab.Site
 	json     string
+	trace    string
 }
 
 func labCommand() *cobra.Command {
@@ -44,6 +49,7 @@
 	fl.Uint64Var(&f.site.Seed, "seed", 1, "draws customers, arrivals and targets")
 	fl.StringVar(&f.site.Gateway, "gateway", "", "the gateway's program; else the one beside this tool, else built from the checkout")
 	fl.StringVar(&f.json, "json", "", "write the verdict to this file as JSON; - for standard output")
+	fl.StringVar(&f.trace, "trace", "", "have a collector take all stories, and write them to this file at the end; see 'elderctl trace'")
 	cmd.AddCommand(labListCommand(), labFaultsCommand(), labBenchCommand())
 	return cmd
 }
@@ -67,6 +73,7 @@
 		s.Seed = f.site.Seed
 	}
 	s.Gateway = f.site.Gateway
+	s.Export = s.Export || f.trace != ""
 	return s
 }
 
@@ -105,6 +112,9 @@
 		return began(err)
 	}
 	defer l.Close()
+	if c := l.Collector(); c != nil {
+		view.event("stories, while it runs: elderctl trace --from %s", c.Links()[0].Address())
+	}
 	shown := make(chan struct{})
 	watching, stopWatching := context.WithCancel(ctx)
 	go func() {
@@ -120,6 +130,11 @@
 	v := l.Verdict()
 	done, cost := l.Site(), l.Cost()
 	printVerdict(out, &v, cost)
+	if f.trace != "" {
+		if err := writeStories(out, l, f.trace); err != nil {
+			return began(err)
+		}
+	}
 	if f.json != "" {
 		if err := writeJSON(cmd.OutOrStdout(), f.json, report{scenario.Name, done.Seed, done.Gateways, done.Nodes, done.Rate, done.For, v.State(), cost, v}); err != nil {
 			return began(err)
@@ -134,6 +149,29 @@
 	return nil
 }
 
+// writeStories writes what the collector took to a file, and shows the story of the
+// request that had the most to it.
+func writeStories(out io.Writer, l *lab.Lab, path string) error {
+	var b bytes.Buffer
+	if err := l.Collector().Write(&b, ""); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	if err := files.Replace(path, b.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	list, err := otlpfile.Read(&b)
+	if err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	all := storiesOf(list)
+	if len(all) == 0 {
+		return nil
+	}
+	most := slices.MaxFunc(all, func(a, b *oneStory) int { return cmp.Compare(a.spans, b.spans) })
+	fmt.Fprintf(out, "\n%d stories are in %s; the one with the most to it:\n", len(all), path)
+	return printStory(out, most)
+}
+
 // writeJSON writes v to a file, whole or not at all, or to out for "-".
 func writeJSON(out io.Writer, path string, v any) error {
 	text, err := json.MarshalIndent(v, "", "  ")
--- a/cmd/elderctl/main.go
+++ b/cmd/elderctl/main.go
@@ -73,7 +73,7 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(labCommand(), siteCommand(), reverseProxyCommand(), keeperCommand())
+	root.AddCommand(labCommand(), traceCommand(), siteCommand(), reverseProxyCommand(), keeperCommand())
 	root.AddCommand(fleetCommands()...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -11,6 +11,7 @@
 
 	"linnetbend/internal/lab/load"
 	"linnetbend/internal/standin/backend"
+	"linnetbend/internal/standin/collector"
 	"linnetbend/internal/standin/counter"
 	"linnetbend/internal/strict"
 	"linnetbend/internal/wait"
@@ -35,6 +36,7 @@
 	onGateway  scope = "gateway"
 	onCounter  scope = "counter"
 	onRegistry scope = "registry"
+	onExport   scope = "collector"
 	onPlan     scope = "plan"
 	onClients  scope = "clients"
 )
@@ -93,6 +95,9 @@
 		{name: "registry-silent", scope: onRegistry, need: true, about: "discovery answers the targets no more", apply: registrySilent},
 		{name: "registry-stale", scope: onRegistry, need: true, about: "discovery goes on answering from the list of that moment", apply: registryStale},
 
+		{name: "collector-gone", scope: onExport, whole: true, need: true, about: "the collector of stories and metrics is dead: connections are refused", apply: collectorGone},
+		{name: "collector-silent", scope: onExport, whole: true, need: true, about: "the collector takes what is sent and never answers", apply: collectorSilent},
+
 		{name: "surge", scope: onPlan, whole: true, need: true, about: "all accounts of one plan ask for more; drawn into the timeline, so not to be switched live", size: 4, least: 1, most: 50, unit: "times as much"},
 		{name: "bad-clients", scope: onClients, whole: true, about: "clients that send what no gateway should take", size: 6, least: 1, most: 200, unit: "clients", apply: badClients},
 	}
@@ -157,6 +162,8 @@
 		return wrong("plan", "%s strikes no plan", f.Kind)
 	case k.scope == onPlan && planIndex(f.Plan) < 0:
 		return wrong("plan", "there is no plan %q", f.Plan)
+	case k.scope == onExport && !s.Export:
+		return wrong("kind", "%s needs a site that exports", f.Kind)
 	case k.once && f.For != 0:
 		return wrong("for", "%s has no length", f.Kind)
 	case k.whole && f.Share > 0:
@@ -699,6 +706,27 @@
 	}
 }
 
+// ---- the collector
+
+func collectorGone(_ context.Context, l *Lab, _ *Fault, _ []int) (func() error, error) {
+	for _, k := range l.collector.Links() {
+		k.Down()
+	}
+	return func() error {
+		for _, k := range l.collector.Links() {
+			if err := k.Up(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, nil
+}
+
+func collectorSilent(_ context.Context, l *Lab, _ *Fault, _ []int) (func() error, error) {
+	l.collector.SetTrouble(collector.Trouble{Silent: true})
+	return func() error { l.collector.SetTrouble(collector.Trouble{}); return nil }, nil
+}
+
 // ---- clients
 
 func badClients(ctx context.Context, l *Lab, f *Fault, _ []int) (func() error, error) {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -452,6 +452,9 @@
 	if (f.Fronts > 0) != (s.Takes > 0) || f.Fronts > s.Gateways {
 		return nil, errors.New("fleet: fronts are needed for takes, and for nothing else, one an agent at most")
 	}
+	if s.Export {
+		return nil, errors.New("fleet: only gateways that the lab runs export")
+	}
 	for _, fault := range s.Faults {
 		if strings.HasPrefix(fault.Kind, "gateway-") {
 			return nil, fmt.Errorf("fleet: the fault %s is for gateways that the lab runs", fault.Kind)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,6 +14,7 @@
 	"linnetbend/internal/lab/audit"
 	"linnetbend/internal/lab/load"
 	"linnetbend/internal/standin/backend"
+	"linnetbend/internal/standin/collector"
 	"linnetbend/internal/standin/counter"
 	"linnetbend/internal/standin/link"
 	"linnetbend/internal/standin/registry"
@@ -59,8 +60,10 @@
 	limits   *load.Front // who takes limit commands; nil: nobody does
 	counter  sharedCounter
 	registry *registry.Registry
-	agents   []*agentProcess // of a fleet, each with the gateway of its place
-	keeper   *os.File        // while it is open, the lab lives
+	// collector takes what gateways export; nil: they export nothing.
+	collector *collector.Collector
+	agents    []*agentProcess // of a fleet, each with the gateway of its place
+	keeper    *os.File        // while it is open, the lab lives
 
 	counterTroubles troubles[counter.Trouble]
 
@@ -254,6 +257,13 @@
 	if ways, err = links(sides, names); err != nil {
 		return err
 	}
+	if s.Export {
+		exports, err := links(1, names)
+		if err != nil {
+			return err
+		}
+		l.collector = collector.Start(s.Seed, exports...)
+	}
 	l.registry = registry.Start(l.nodeAddress, mostTold, ways...)
 	for i, name := range names {
 		l.registry.SetDelay(name, time.Duration(400+300*i%900)*time.Millisecond)
@@ -360,6 +370,9 @@
 		if l.registry != nil {
 			l.registry.Close()
 		}
+		if l.collector != nil {
+			l.collector.Close()
+		}
 		l.wg.Wait()
 		for _, g := range l.gateways { // one may have been on its way up
 			l.killGateway(g)
@@ -467,6 +480,9 @@
 	}
 }
 
+// Collector takes what the gateways export, of a site that exports; else it is nil.
+func (l *Lab) Collector() *collector.Collector { return l.collector }
+
 // Verdict rules on what has been played so far.
 func (l *Lab) Verdict() audit.Verdict {
 	var log audit.Log
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -34,6 +34,7 @@
 	GreedyIn string  // its plan
 	Takes    float64 // share of what accounts ask for that comes as limit commands, over RESP
 	Store    string  // the shared counter: "http", the platform's, or "resp"
+	Export   bool    // a collector takes the gateways' stories, all of them, and metrics
 	Honour   float64 // share of clients that wait as Retry-After says; below 0: none
 	Ceiling  float64 // hard ceiling on every plan, in times its quota; 0: none
 
@@ -75,6 +76,8 @@
 	mostProduct       = 1000 // gateways times nodes: each pair has a listener
 	storeHTTP         = "http"
 	storeRESP         = "resp"
+	exportEvery       = 250 * time.Millisecond // metrics
+	exportQueueKB     = 256
 	mostTakers        = 4096                                    // connections for limit commands, of one process
 	takeWorth         = 1.0                                     // of a unit, as of a lookup
 	takeWithin        = 100*time.Millisecond + 2*counterTimeout // of a take that names no wait
@@ -299,9 +302,12 @@
 }
 
 // operators is the operator's file of a gateway that takes limit commands at an
-// address; it is empty where all is as by default.
-func (s *Site) operators(limits string) []byte {
+// address and exports to another; it is empty where all is as by default.
+func (s *Site) operators(limits, collector string) []byte {
 	file := s.shared(0)
+	if collector != "" {
+		file["telemetry"] = object{"endpoint": "http://" + collector, "share": 1.0, "interval": exportEvery.String(), "timeout": "2s", "queue_kb": exportQueueKB}
+	}
 	if limits != "" {
 		file["resp"] = object{"listen": limits, "most_clients": mostTakers}
 	}
--- a/internal/lab/takers.go
+++ b/internal/lab/takers.go
@@ -59,7 +59,11 @@
 // returns the variable that names it.
 func (l *Lab) writeOperators(g *gatewayProcess) (env []string, err error) {
 	g.mu.Lock()
-	text := l.site.operators(g.limits)
+	collector := ""
+	if l.collector != nil {
+		collector = l.collector.Address(g.name)
+	}
+	text := l.site.operators(g.limits, collector)
 	g.mu.Unlock()
 	if len(text) == 0 {
 		return nil, nil
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -19,10 +19,12 @@
 	"time"
 
 	metrics "go.opentelemetry.io/proto/otlp/metrics/v1"
+	resource "go.opentelemetry.io/proto/otlp/resource/v1"
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"linnetbend/internal/otlpfile"
 	"linnetbend/internal/standin/link"
 	"linnetbend/internal/wait"
 )
@@ -48,6 +50,7 @@
 type Span struct {
 	*trace.Span
 	Instance string // service.instance.id of its process
+	resource *resource.Resource
 }
 
 // Collector is a running stand-in.
@@ -75,6 +78,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/traces", c.take(func(body []byte, refuse bool) (int, error) { return c.takeTraces(body, refuse) }))
 	mux.HandleFunc("POST /v1/metrics", c.take(func(body []byte, refuse bool) (int, error) { return c.takeMetrics(body, refuse) }))
+	mux.HandleFunc("GET "+StoriesPath, c.tell)
 	c.server = &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return ctx }}
 	for _, l := range links {
 		c.wg.Go(func() { c.server.Serve(l) })
@@ -82,6 +86,37 @@
 	return c
 }
 
+// StoriesPath is where people read what was taken: the stories whose id begins with the
+// parameter id, as lines of OTLP's JSON.
+const StoriesPath = "/stories"
+
+func (c *Collector) tell(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	c.Write(w, r.URL.Query().Get("id")) // an error means that the reader has left
+}
+
+// Write writes the stories whose id begins so as lines of OTLP's JSON, one for each
+// process.
+func (c *Collector) Write(w io.Writer, id string) error {
+	var order []string
+	by := map[string]*trace.ResourceSpans{}
+	for _, s := range c.Trace(id) {
+		rs := by[s.Instance]
+		if rs == nil {
+			rs = &trace.ResourceSpans{Resource: s.resource, ScopeSpans: []*trace.ScopeSpans{{}}}
+			by[s.Instance] = rs
+			order = append(order, s.Instance)
+		}
+		rs.ScopeSpans[0].Spans = append(rs.ScopeSpans[0].Spans, s.Span)
+	}
+	for _, name := range order {
+		if err := otlpfile.Write(w, []*trace.ResourceSpans{by[name]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends it with all connections.
 func (c *Collector) Close() {
 	c.stop()
@@ -213,7 +248,7 @@
 				if _, here := c.spans[id]; !here {
 					c.order = append(c.order, id)
 				}
-				c.spans[id] = Span{s, instance}
+				c.spans[id] = Span{s, instance, rs.Resource}
 			}
 		}
 	}
