Keep a request's story in one piece, taken many events at a time

Events are taken 50 ms at a time from a list with a bound, a story lives in the one piece that the request path makes for it, and packing reuses its tables.

--- a/cmd/elderctl/bench.go
+++ b/cmd/elderctl/bench.go
@@ -29,6 +29,8 @@
 same backends, each on one core, taking turns. Every turn has two parts: clients
 that ask again as soon as they are answered, and a fixed rate. The ratios are of
 turns next to each other; least, middle and most over all rounds are printed.
+With --export a gateway that exports stories and metrics takes the gateway's place,
+and one that does not the proxy's.
 ` + exitHelp,
 		Args: noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -61,6 +63,7 @@
 	fl.IntVar(&b.Clients, "clients", 64, "clients that ask at once")
 	fl.Float64Var(&b.Rate, "rate", 1000, "requests a second in the second part")
 	fl.StringVar(&b.Gateway, "gateway", "", "the gateway's program; else the one beside this tool, else built from the checkout")
+	fl.StringVar(&b.Export, "export", "", "measure a gateway that exports next to one that does not: on, or dead for a collector that is not there")
 	fl.StringVar(&path, "json", "", "write the figures to this file as JSON; - for standard output")
 	return cmd
 }
@@ -72,7 +75,7 @@
 		late += t.LateClient
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "\n\tgateway (least, middle, most)\treverse proxy\tratio")
+	fmt.Fprintf(w, "\n\tgateway (least, middle, most)\t%s\tratio\n", r.Against)
 	show := func(s lab.Spread, unit string) string {
 		return fmt.Sprintf("%.3g  %.3g  %.3g %s", s.Least, s.Middle, s.Most, unit)
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -158,7 +158,7 @@
 	}
 	x.ask.ID, x.open = l.NewID(), true
 	l.live[x.ask.ID] = x
-	l.tell(x, stories.Event{Kind: stories.Began, Begin: x.story})
+	l.tell(x, stories.Event{Kind: stories.Began})
 	l.Handle(x.ask)
 }
 
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -47,7 +47,7 @@
 	if x.story == nil {
 		return
 	}
-	e.Request, e.At = x.ask.ID, l.Clock.Now()
+	e.Begin, e.At = x.story, l.Clock.Now()
 	l.telemetry.Tell(e)
 }
 
--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -21,6 +21,9 @@
 	Clients int           // that ask at once in the first part
 	Rate    float64       // requests a second in the second
 	Gateway string        // see Site
+	// Export measures the gateway that exports next to one that does not, in place of
+	// the proxy: "on", metrics and one story in a hundred; "dead", the same with no collector there.
+	Export string
 	// Proxy returns the command of the other proxy, which listens at an address,
 	// passes on to backends and answers 200 at /health/ready.
 	Proxy func(listen string, backends []string) *exec.Cmd
@@ -59,8 +62,9 @@
 
 // Result is a whole measurement.
 type Result struct {
-	Turns  []Turn  `json:"turns"`
-	Ratios []Ratio `json:"ratios"`
+	Against string  `json:"against"` // what the gateway is next to
+	Turns   []Turn  `json:"turns"`
+	Ratios  []Ratio `json:"ratios"`
 }
 
 const (
@@ -70,6 +74,8 @@
 	benchWarm    = 500 * time.Millisecond // before the first turn of each program
 	proxyName    = "proxy"
 	gatewayBench = "gateway"
+	exportOn     = "on"
+	exportDead   = "dead"
 )
 
 // Run measures. An error means that there are no figures.
@@ -78,12 +84,27 @@
 	if b.Rounds < 1 || b.For < 100*time.Millisecond || b.Clients < 1 || b.Rate <= 0 || b.Proxy == nil {
 		return r, errors.New("bench: rounds, clients, rate and a time of 100 ms and more are needed")
 	}
-	l, err := Open(ctx, Site{Gateways: 1, Nodes: benchNodes, Cells: 1, Rate: b.Rate, For: time.Second, Gateway: b.Gateway, Log: b.Log,
-		bench: true, others: []other{{proxyName, b.Proxy}}})
+	site := Site{Gateways: 1, Nodes: benchNodes, Cells: 1, Rate: b.Rate, For: time.Second, Gateway: b.Gateway, Log: b.Log, bench: true}
+	r.Against = proxyName
+	switch b.Export {
+	case "":
+		site.others = []other{{proxyName, b.Proxy}}
+	case exportOn, exportDead:
+		r.Against = "gateway without export"
+		site.Gateways, site.Export = 2, true
+	default:
+		return r, fmt.Errorf("bench: export %q is neither %s nor %s", b.Export, exportOn, exportDead)
+	}
+	l, err := Open(ctx, site)
 	if err != nil {
 		return r, err
 	}
 	defer l.Close()
+	if b.Export == exportDead {
+		for _, k := range l.collector.Links() {
+			k.Down()
+		}
+	}
 	customers, _, err := load.Timeline(load.Config{Seed: 1, Rate: 50, For: time.Second, Gateways: 1, Plans: l.site.plans(), Classes: l.site.classes()})
 	if err != nil {
 		return r, err
@@ -99,7 +120,7 @@
 			if err != nil {
 				return r, err
 			}
-			t.Program, t.Round = []string{gatewayBench, proxyName}[i], round
+			t.Program, t.Round = []string{gatewayBench, r.Against}[i], round
 			r.Turns = append(r.Turns, t)
 			if b.Log != nil {
 				b.Log("round %d, %s: %.0f requests a second, %v of CPU each at full load and %v at %g a second, median %v, 99th percentile %v",
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -77,6 +77,7 @@
 	storeHTTP         = "http"
 	storeRESP         = "resp"
 	exportEvery       = 250 * time.Millisecond // metrics
+	benchEvery        = time.Second
 	exportQueueKB     = 256
 	mostTakers        = 4096                                    // connections for limit commands, of one process
 	takeWorth         = 1.0                                     // of a unit, as of a lookup
@@ -307,6 +308,9 @@
 	file := s.shared(0)
 	if collector != "" {
 		file["telemetry"] = object{"endpoint": "http://" + collector, "share": 1.0, "interval": exportEvery.String(), "timeout": "2s", "queue_kb": exportQueueKB}
+		if s.bench {
+			file["telemetry"] = object{"endpoint": "http://" + collector, "interval": benchEvery.String()} // else as by default
+		}
 	}
 	if limits != "" {
 		file["resp"] = object{"listen": limits, "most_clients": mostTakers}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,7 +42,7 @@
 		{"elderyard.units.leased", "{unit}", kindGauge, "", "units leased and not spent"},
 		{"elderyard.stories", "{story}", kindSum, "elderyard.kept", "requests whose story was kept, or left out by the sampling"},
 		{"elderyard.telemetry.items", "{item}", kindSum, "elderyard.signal, elderyard.state", "spans and points by what became of them: sent, dropped (no room), rejected (by the collector)"},
-		{"elderyard.telemetry.missed", "{event}", kindSum, "elderyard.kind", "events that found no room on their way from the request path, and requests that had none for a story or a count"},
+		{"elderyard.telemetry.missed", "{event}", kindSum, "elderyard.kind", "events that found no room on their way from the request path; what they would have told is in no story and no count"},
 		{"elderyard.telemetry.queue", "By", kindGauge, "elderyard.signal", "bytes that wait for the collector"},
 	}
 }
@@ -180,8 +180,6 @@
 	for kind, n := range c.missed {
 		g.sum("elderyard.telemetry.missed", n, attr("elderyard.kind", stories.EventKind(kind).String()))
 	}
-	g.sum("elderyard.telemetry.missed", uint64(c.teller.Untold), attr("elderyard.kind", "story"))
-	g.sum("elderyard.telemetry.missed", t.Missed, attr("elderyard.kind", "end"))
 	return g.list
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -16,8 +16,8 @@
 
 const (
 	mostEvents    = 1 << 13 // that wait to be taken
-	mostSpans     = 256     // of one message
-	mostOpen      = 1 << 13 // requests whose story or end is not known yet
+	mostSpans     = 64      // of one message: writing one takes the core from requests for so long
+	takeEvery     = 50 * time.Millisecond
 	spansEvery    = time.Second
 	figuresWithin = 200 * time.Millisecond
 	complainGap   = time.Minute // between lines about a collector that stays away
@@ -46,10 +46,11 @@
 	ask     func(context.Context) (Figures, error)
 	log     *slog.Logger
 	start   float64
-	events  chan stories.Event
+	events  events
 	missed  [stories.EventKinds]atomic.Uint64
 	encoder *encoder
 	counts  counts
+	empty   []stories.Event // the list that is to be swapped in
 	spans   []stories.Span
 	senders []*sender
 	stop    context.CancelFunc
@@ -61,28 +62,69 @@
 // Start begins to export. Now is the clock of the events, in seconds; ask tells the
 // owner's figures, and must end with its context. Close must be called.
 func Start(set Settings, now func() float64, ask func(context.Context) (Figures, error), log *slog.Logger) *Telemetry {
-	set.Stories.Most = mostOpen
-	t := &Telemetry{set: set, now: now, ask: ask, log: log, start: now(), events: make(chan stories.Event, mostEvents),
-		encoder: newEncoder(set.Resource), ended: make(chan struct{})}
+	t, client := prepare(set, now, ask, log)
+	ctx, stop := context.WithCancel(context.Background())
+	t.stop = stop
+	go t.run(ctx, client)
+	return t
+}
+
+// prepare makes an exporter whose goroutine is not started.
+func prepare(set Settings, now func() float64, ask func(context.Context) (Figures, error), log *slog.Logger) (*Telemetry, *http.Client) {
+	t := &Telemetry{set: set, now: now, ask: ask, log: log, start: now(), events: newEvents(mostEvents),
+		empty: make([]stories.Event, 0, mostEvents), encoder: newEncoder(set.Resource), ended: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: time.Minute},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	make := func(path string, reply func() partial) *sender {
 		return &sender{url: set.Endpoint + path, headers: set.Headers, client: client, timeout: set.Timeout, queue: newQueue(set.QueueBytes), reply: reply}
 	}
-	t.counts = counts{tally: stories.NewTally(set.Stories, mostOpen), teller: stories.NewTeller(set.Stories, uint64(time.Now().UnixNano())),
+	t.counts = counts{tally: stories.NewTally(set.Stories), teller: stories.NewTeller(set.Stories, uint64(time.Now().UnixNano())),
 		traces: make(tracesPath, func() partial { return &traceReply{} }), points: make(metricsPath, func() partial { return &metricsReply{} })}
 	t.senders = []*sender{t.counts.traces, t.counts.points}
-	ctx, stop := context.WithCancel(context.Background())
-	t.stop = stop
-	go t.run(ctx, client)
-	return t
+	return t, client
+}
+
+// events are those that were told and not taken. They are taken many at a time: to
+// wake a goroutine for each would cost a request more than all that is told of it.
+type events struct {
+	wake chan struct{} // has room for one: half of the room is taken
+
+	mu   sync.Mutex // held to add one, or to swap the lists
+	list []stories.Event
+}
+
+func newEvents(most int) events {
+	return events{wake: make(chan struct{}, 1), list: make([]stories.Event, 0, most)}
+}
+
+// add takes an event, unless there is no room.
+func (q *events) add(e stories.Event) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) == cap(q.list) {
+		return false
+	}
+	if q.list = append(q.list, e); len(q.list) == cap(q.list)/2 {
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+// swap returns what has come, for an empty list of the same room.
+func (q *events) swap(empty []stories.Event) []stories.Event {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	full := q.list
+	q.list = empty
+	return full
 }
 
 // Tell hands an event over. It never waits: one that finds no room is counted.
 func (t *Telemetry) Tell(e stories.Event) {
-	select {
-	case t.events <- e:
-	default:
+	if !t.events.add(e) {
 		t.missed[e.Kind].Add(1)
 	}
 }
@@ -108,11 +150,15 @@
 	defer spans.Stop()
 	points := time.NewTicker(t.set.Interval)
 	defer points.Stop()
+	look := time.NewTicker(takeEvery)
+	defer look.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case e := <-t.events:
-			t.take(e)
+		case <-look.C:
+			t.takeAll()
+		case <-t.events.wake:
+			t.takeAll()
 		case <-spans.C:
 			t.flushSpans()
 			t.complain()
@@ -120,9 +166,7 @@
 			t.flushPoints(ctx)
 		}
 	}
-	for len(t.events) > 0 {
-		t.take(<-t.events)
-	}
+	t.takeAll()
 	t.flushSpans()
 	t.flushPoints(ctx)
 	stopSending() // what is out is put back, and goes with the rest
@@ -138,6 +182,16 @@
 	}
 }
 
+// takeAll takes what has been told.
+func (t *Telemetry) takeAll() {
+	list := t.events.swap(t.empty)
+	for i := range list {
+		t.take(list[i])
+	}
+	clear(list) // what they point to is not held
+	t.empty = list[:0]
+}
+
 func (t *Telemetry) take(e stories.Event) {
 	t.counts.tally.Handle(e)
 	if !t.set.Traces {
--- a/stories/context.go
+++ b/stories/context.go
@@ -6,8 +6,8 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
-	"fmt"
 	"strings"
 )
 
@@ -135,18 +135,22 @@
 
 // Parent is the header traceparent for what a span sends on.
 func (c Context) Parent() string {
-	flags := "00"
+	text := append(make([]byte, 0, parentLen), "00-"...)
+	text = append(hex.AppendEncode(text, c.Trace[:]), '-')
+	text = append(hex.AppendEncode(text, c.Span[:]), "-00"...)
 	if c.Sampled {
-		flags = "01"
+		text[parentLen-1] = '1'
 	}
-	return fmt.Sprintf("00-%x-%x-%s", c.Trace, c.Span, flags)
+	return string(text)
 }
 
 // KeyTrace is the story of a keyed request that brought no context. All gateways
 // derive the same, so a booking that is tried again through another one is one story. The last eight bytes
 // are as good as random, which shares of stories are cut by.
 func KeyTrace(account uint64, key string) (t TraceID) {
-	sum := sha256.Sum256(fmt.Appendf(nil, "elderyard story %016x %s", account, key))
+	text := append(make([]byte, 0, 64), "elderyard story "...)
+	text = append(binary.BigEndian.AppendUint64(text, account), key...)
+	sum := sha256.Sum256(text)
 	copy(t[:], sum[:])
 	t[0] |= 1 // never all zero
 	return t
