--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -30,7 +30,8 @@
 
 // Telemetry says what is exported to a collector of OpenTelemetry.
 type Telemetry struct {
-	Endpoint string            `toml:"endpoint" doc:"URL of a collector that takes OTLP over HTTP, such as http://127.0.0.1:4318; default what OTEL_EXPORTER_OTLP_ENDPOINT says, else none, and nothing is exported"`
+	Endpoint string            `toml:"endpoint" doc:"URL of a collector, such as http://127.0.0.1:4318; default what OTEL_EXPORTER_OTLP_ENDPOINT says, else none, and nothing is exported"`
+	Protocol string            `toml:"protocol" doc:"http, protobuf over HTTP, or grpc; default http"`
 	Headers  map[string]string `toml:"headers" doc:"headers of each call, such as one with a token; default none"`
 	Service  string            `toml:"service" doc:"service.name; default what OTEL_SERVICE_NAME says, else elderyard"`
 	Traces   bool              `toml:"traces" doc:"whether traces are exported; default true"`
@@ -101,7 +102,7 @@
 func Defaults() Settings {
 	return Settings{Clients: Clients{SocketShare: 0.75, MemoryShare: 0.25}, Memory: Memory{HeapShare: 0.7, HeapGrow: 400},
 		Counter: Counter{Kind: "http", Prefix: "elderyard:"}, RESP: RESP{Most: 64, Idle: strict.Duration(5 * time.Minute)},
-		Telemetry: Telemetry{Traces: true, Metrics: true, Share: 0.01, Keep: []string{"failed", "late", "repeated"}, Interval: strict.Duration(10 * time.Second),
+		Telemetry: Telemetry{Protocol: "http", Traces: true, Metrics: true, Share: 0.01, Keep: []string{"failed", "late", "repeated"}, Interval: strict.Duration(10 * time.Second),
 			Timeout: strict.Duration(10 * time.Second), Flush: strict.Duration(500 * time.Millisecond), QueueKB: 1024}}
 }
 
@@ -178,6 +179,9 @@
 			return "telemetry.endpoint", fmt.Errorf("%q is not a URL of http or https", t.Endpoint)
 		}
 	}
+	if t.Protocol != "http" && t.Protocol != "grpc" {
+		return "telemetry.protocol", fmt.Errorf("%q is neither http nor grpc", t.Protocol)
+	}
 	for i, k := range t.Keep {
 		if !slices.Contains([]string{"failed", "refused", "late", "repeated"}, k) {
 			return fmt.Sprintf("telemetry.keep[%d]", i), fmt.Errorf("%q is none of failed, refused, late, repeated", k)
--- a/internal/telemetry/deliver.go
+++ b/internal/telemetry/deliver.go
@@ -86,6 +86,7 @@
 	url      string
 	headers  map[string]string
 	client   *http.Client
+	grpc     bool // the url is a method's, and the call gRPC's
 	timeout  time.Duration
 	queue    *queue
 	reply    func() partial
@@ -142,8 +143,16 @@
 func (s *sender) send(ctx context.Context, b batch) (v verdict, advised time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	status, header, body, err := s.post(ctx, b.body)
-	v = judge(status, err)
+	var body []byte
+	if s.grpc {
+		v, advised, body = s.call(ctx, b.body)
+	} else {
+		var status int
+		var header http.Header
+		var err error
+		status, header, body, err = s.post(ctx, b.body)
+		v, advised = judge(status, err), advice(header, time.Now())
+	}
 	switch v {
 	case delivered:
 		lost := s.refusedOf(body, b.items)
@@ -151,7 +160,6 @@
 		s.sent.Add(uint64(b.items) - lost)
 	case again:
 		s.failures.Add(1)
-		advised = advice(header, time.Now())
 	case final:
 		s.failures.Add(1)
 		s.rejected.Add(uint64(b.items))
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -28,6 +28,7 @@
 // Settings say what is exported, and where to.
 type Settings struct {
 	Endpoint   string            // URL; the paths of the signals come behind it
+	GRPC       bool              // over gRPC, with the methods of the signals behind the URL
 	Headers    map[string]string // of each call
 	Resource   []stories.Attr    // who exports
 	Traces     bool
@@ -73,13 +74,21 @@
 func prepare(set Settings, now func() float64, ask func(context.Context) (Figures, error), log *slog.Logger) (*Telemetry, *http.Client) {
 	t := &Telemetry{set: set, now: now, ask: ask, log: log, start: now(), events: newEvents(mostEvents),
 		empty: make([]stories.Event, 0, mostEvents), encoder: newEncoder(set.Resource), ended: make(chan struct{})}
-	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: time.Minute},
+	transport := &http.Transport{MaxConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: time.Minute}
+	traces, points := tracesPath, metricsPath
+	if set.GRPC {
+		traces, points = tracesCall, metricsCall
+		transport.Protocols = new(http.Protocols) // HTTP/2 alone, also without TLS
+		transport.Protocols.SetHTTP2(true)
+		transport.Protocols.SetUnencryptedHTTP2(true)
+	}
+	client := &http.Client{Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	make := func(path string, reply func() partial) *sender {
-		return &sender{url: set.Endpoint + path, headers: set.Headers, client: client, timeout: set.Timeout, queue: newQueue(set.QueueBytes), reply: reply}
+		return &sender{url: set.Endpoint + path, headers: set.Headers, client: client, grpc: set.GRPC, timeout: set.Timeout, queue: newQueue(set.QueueBytes), reply: reply}
 	}
 	t.counts = counts{tally: stories.NewTally(set.Stories), teller: stories.NewTeller(set.Stories, uint64(time.Now().UnixNano())),
-		traces: make(tracesPath, func() partial { return &traceReply{} }), points: make(metricsPath, func() partial { return &metricsReply{} })}
+		traces: make(traces, func() partial { return &traceReply{} }), points: make(points, func() partial { return &metricsReply{} })}
 	t.senders = []*sender{t.counts.traces, t.counts.points}
 	return t, client
 }
