--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -52,11 +52,13 @@
 	name, address, file, socket string
 	limits                      string // where it takes limit commands; "": nowhere
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
-	output tail
-	back   func() // ends the excuse for limit commands that it held when it was killed; nil: there is none
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	output   tail
+	waited   time.Duration // ready to run and not run, at the last look
+	lookedAt int           // the process that the last look was at
+	back     func()        // ends the excuse for limit commands that it held when it was killed; nil: there is none
 }
 
 // openFleet starts agents, joins the voters and has the first revision applied.
@@ -81,7 +83,9 @@
 				return fmt.Errorf("%s: %w", a.name, err)
 			}
 		}
+		l.mu.Lock()
 		l.agents = append(l.agents, a)
+		l.mu.Unlock()
 		if i < f.Voters {
 			addresses = append(addresses, at)
 		}
--- a/internal/lab/takers.go
+++ b/internal/lab/takers.go
@@ -29,6 +29,18 @@
 	return names
 }
 
+// takingAgents are the agents so far that take limit commands.
+func (l *Lab) takingAgents() (list []*agentProcess) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.agents {
+		if a.limits != "" {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 func agentName(i int) string { return fmt.Sprint("a", i) }
 
 // takesLimits tells whether a gateway takes limit commands itself.
--- a/internal/lab/usage.go
+++ b/internal/lab/usage.go
@@ -73,6 +73,9 @@
 		for _, g := range l.gateways {
 			l.look(g, last, now, n%filesEvery == 0)
 		}
+		for _, a := range l.takingAgents() {
+			l.lookAgent(a, last, now)
+		}
 		last = now
 	}
 }
@@ -109,6 +112,26 @@
 	}
 }
 
+// lookAgent notes for how long an agent that takes limit commands was ready to run and
+// had no core: its answers came late by as much.
+func (l *Lab) lookAgent(a *agentProcess, from, to time.Time) {
+	a.mu.Lock()
+	pid := 0
+	if a.cmd != nil && a.cmd.Process != nil {
+		pid = a.cmd.Process.Pid
+	}
+	waited := runDelay("/proc/" + strconv.Itoa(pid))
+	late := time.Duration(0)
+	if a.lookedAt == pid {
+		late = waited - a.waited
+	}
+	a.lookedAt, a.waited = pid, waited
+	a.mu.Unlock()
+	if late > lateRun {
+		l.lateFor(a.name, from, to, fmt.Sprintf("%s was ready to run and not run for %v", a.name, late.Round(time.Millisecond)))
+	}
+}
+
 func peakMB(dir string) float64 {
 	text, err := os.ReadFile(dir + "/status")
 	if err != nil {
--- a/internal/telemetry/grpc.go
+++ b/internal/telemetry/grpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/base64"
 	"encoding/binary"
@@ -58,7 +59,7 @@
 	for k, v := range s.headers {
 		req.Header.Set(k, v)
 	}
-	for k, v := range map[string]string{"Content-Type": "application/grpc", "Te": "trailers", "Grpc-Encoding": "gzip", "Grpc-Accept-Encoding": "identity",
+	for k, v := range map[string]string{"Content-Type": "application/grpc", "Te": "trailers", "Grpc-Encoding": "gzip", "Grpc-Accept-Encoding": "gzip",
 		"Grpc-Timeout": strconv.FormatInt(s.timeout.Milliseconds(), 10) + "m"} {
 		req.Header.Set(k, v)
 	}
@@ -70,7 +71,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return judge(resp.StatusCode, nil), advice(resp.Header, time.Now()), nil
 	}
-	reply, err = readFrame(resp.Body)
+	reply, err = readFrame(resp.Body, resp.Header.Get("Grpc-Encoding"))
 	if err != nil {
 		return again, 0, nil
 	}
@@ -89,18 +90,40 @@
 var errFrame = errors.New("a frame that can't be read")
 
 // readFrame reads the one message of an answer, or nothing where there is none, to
-// the end of the answer, behind which its status comes.
-func readFrame(r io.Reader) ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(r, mostReply+1))
+// the end of the answer, behind which its status comes. Servers pack their answers as the call
+// was, whatever it said that it takes.
+func readFrame(r io.Reader, encoding string) ([]byte, error) {
+	text, err := short(r)
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", errFrame, err)
 	case len(text) == 0:
 		return nil, nil
-	case len(text) > mostReply || len(text) < frameHead || text[0] != 0 || int(binary.BigEndian.Uint32(text[1:])) != len(text)-frameHead:
+	case len(text) < frameHead || int(binary.BigEndian.Uint32(text[1:])) != len(text)-frameHead:
+		return nil, errFrame
+	case text[0] == 0:
+		return text[frameHead:], nil
+	case text[0] != 1 || encoding != "gzip":
 		return nil, errFrame
 	}
-	return text[frameHead:], nil
+	z, err := gzip.NewReader(bytes.NewReader(text[frameHead:]))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	defer z.Close()
+	if text, err = short(z); err != nil {
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	return text, nil
+}
+
+// short reads to the end, of what is no longer than a reply may be.
+func short(r io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(r, mostReply+1))
+	if err == nil && len(text) > mostReply {
+		err = errors.New("it is too long")
+	}
+	return text, err
 }
 
 // retryInfo reads the pause from the details of a status: a google.rpc.Status whose
