--- a/cmd/elderctl/trace.go
+++ b/cmd/elderctl/trace.go
@@ -209,26 +209,12 @@
 func text(attrs []*common.KeyValue, key string) string {
 	for _, a := range attrs {
 		if a.Key == key {
-			return attribute(a.Value)
+			return plainText(otlpfile.Text(a.Value))
 		}
 	}
 	return ""
 }
 
-func attribute(v *common.AnyValue) string {
-	switch v := v.GetValue().(type) {
-	case *common.AnyValue_StringValue:
-		return plainText(v.StringValue)
-	case *common.AnyValue_BoolValue:
-		return fmt.Sprint(v.BoolValue)
-	case *common.AnyValue_IntValue:
-		return fmt.Sprint(v.IntValue)
-	case *common.AnyValue_DoubleValue:
-		return fmt.Sprint(v.DoubleValue)
-	}
-	return ""
-}
-
 // plainText takes out what would move a terminal's cursor: spans may hold what clients sent.
 func plainText(s string) string {
 	return strings.Map(func(r rune) rune {
--- a/internal/otlpfile/otlpfile.go
+++ b/internal/otlpfile/otlpfile.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 
+	common "go.opentelemetry.io/proto/otlp/common/v1"
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
 	"google.golang.org/protobuf/encoding/protojson"
 )
@@ -110,3 +111,18 @@
 	}
 	return nil
 }
+
+// Text is an attribute's value for people.
+func Text(v *common.AnyValue) string {
+	switch v := v.GetValue().(type) {
+	case *common.AnyValue_StringValue:
+		return v.StringValue
+	case *common.AnyValue_BoolValue:
+		return fmt.Sprint(v.BoolValue)
+	case *common.AnyValue_IntValue:
+		return fmt.Sprint(v.IntValue)
+	case *common.AnyValue_DoubleValue:
+		return fmt.Sprint(v.DoubleValue)
+	}
+	return ""
+}
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -76,13 +76,7 @@
 	if n := int64(x); float64(n) == x && n > -1e15 && n < 1e15 { // most are whole, and these cost less
 		var digits [20]byte
 		text := strconv.AppendInt(digits[:0], n, 10)
-		if w.Version < 3 {
-			w.head(Bulk, len(text))
-		} else {
-			w.Buf = append(w.Buf, byte(Double))
-		}
-		w.Buf = append(w.Buf, text...)
-		w.Buf = append(w.Buf, '\r', '\n')
+		w.digits(text)
 		return
 	}
 	text := strconv.FormatFloat(x, 'g', -1, 64)
@@ -114,6 +108,11 @@
 	for text[len(text)-1] == '0' {
 		text = text[:len(text)-1]
 	}
+	w.digits(text)
+}
+
+// digits writes a number that is made out, in version 2 as text.
+func (w *Writer) digits(text []byte) {
 	if w.Version < 3 {
 		w.head(Bulk, len(text))
 	} else {
--- a/internal/standin/collector/rules.go
+++ b/internal/standin/collector/rules.go
@@ -10,6 +10,7 @@
 	metrics "go.opentelemetry.io/proto/otlp/metrics/v1"
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
 
+	"linnetbend/internal/otlpfile"
 	"linnetbend/stories"
 )
 
@@ -78,27 +79,12 @@
 			flaws = append(flaws, fmt.Sprintf("attribute %q has no name or value, or stands twice", a.Key))
 		}
 		seen[a.Key] = true
-		parts = append(parts, a.Key+"="+Text(a.Value))
+		parts = append(parts, a.Key+"="+otlpfile.Text(a.Value))
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, ","), flaws
 }
 
-// Text is an attribute's value for people.
-func Text(v *common.AnyValue) string {
-	switch v := v.GetValue().(type) {
-	case *common.AnyValue_StringValue:
-		return v.StringValue
-	case *common.AnyValue_BoolValue:
-		return fmt.Sprint(v.BoolValue)
-	case *common.AnyValue_IntValue:
-		return fmt.Sprint(v.IntValue)
-	case *common.AnyValue_DoubleValue:
-		return fmt.Sprint(v.DoubleValue)
-	}
-	return ""
-}
-
 func anySet(id []byte) bool { return slices.ContainsFunc(id, func(b byte) bool { return b != 0 }) }
 
 // spanFlaws holds a span to the specification.
