Take out what stories never used, and make one piece of what two places did

Reading the whole change again found fields that nobody read (units by plan, the number of classes, a story's account), a collector that drew its troubles and wrote endless answers in two places, the same look at a process's want of a core written for gateways and agents, and a test that starts the tool in its own way. One piece each now, behaviour as before; the packages' tests pass under the race detector.

--- a/cmd/elderctl/quota_test.go
+++ b/cmd/elderctl/quota_test.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"flag"
-	"os"
 	"os/exec"
 	"testing"
 	"time"
@@ -47,11 +47,7 @@
 			l, err := lab.OpenFleet(t.Context(), lab.Site{Gateways: 3, Nodes: 4, Rate: 40, For: *quotaFor, Takes: 0.5, Store: k.store,
 				Greedy: 7.8, GreedyIn: "enterprise", Overshoot: k.most, Faults: k.faults, Log: t.Logf},
 				lab.Fleet{Voters: 1, Fronts: 2, Gateway: gateway(t),
-					Rollout: map[string]any{"waves": []float64{1}, "most_away": 3, "ready_within": "30s", "soak_for": "1s"}, Tool: func(args ...string) *exec.Cmd {
-						cmd := exec.Command(os.Args[0], args...)
-						cmd.Env = append(os.Environ(), asTool+"=1")
-						return cmd
-					}})
+					Rollout: map[string]any{"waves": []float64{1}, "most_away": 3, "ready_within": "30s", "soak_for": "1s"}, Tool: func(args ...string) *exec.Cmd { return command(context.Background(), args...) }})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -38,7 +38,7 @@
 	if self.State != "" {
 		h[stateHeader] = []string{self.State}
 	}
-	return &stories.Begin{Context: client, Self: self, Client: x.id, Account: uint64(x.ask.Customer), Class: x.ask.Class, Plan: x.ask.Plan,
+	return &stories.Begin{Context: client, Self: self, Client: x.id, Class: x.ask.Class, Plan: x.ask.Plan,
 		Units: x.ask.Units, Method: x.method, Key: key != "", Repeated: x.ask.Repeat, Sent: x.ask.Sent}
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -52,13 +52,12 @@
 	name, address, file, socket string
 	limits                      string // where it takes limit commands; "": nowhere
 
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
-	output   tail
-	waited   time.Duration // ready to run and not run, at the last look
-	lookedAt int           // the process that the last look was at
-	back     func()        // ends the excuse for limit commands that it held when it was killed; nil: there is none
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	output tail
+	delay  delay
+	back   func() // ends the excuse for limit commands that it held when it was killed; nil: there is none
 }
 
 // openFleet starts agents, joins the voters and has the first revision applied.
--- a/internal/lab/usage.go
+++ b/internal/lab/usage.go
@@ -29,8 +29,22 @@
 	files  int
 	cpu    time.Duration // of lives that are over
 	cpuNow time.Duration // of the present one
-	waited time.Duration // ready to run and not run, at the last look
-	pid    int           // that the last look was at
+	delay  delay
+}
+
+// delay is for how long a process was ready to run and did not, at the last look.
+type delay struct {
+	waited time.Duration
+	pid    int // that the look was at
+}
+
+// since takes a look, and returns how much that grew since the last; 0 of another process.
+func (d *delay) since(pid int, waited time.Duration) (grew time.Duration) {
+	if d.pid == pid {
+		grew = waited - d.waited
+	}
+	d.pid, d.waited = pid, waited
+	return grew
 }
 
 // bank takes the books of a life that is over. The lock on the gateway is held.
@@ -101,14 +115,15 @@
 	if cpu > 0 && g.state != Dead {
 		u.cpuNow = cpu
 	}
-	late := time.Duration(0)
-	if u.pid == pid {
-		late = waited - u.waited
-	}
-	u.pid, u.waited = pid, waited
+	late := u.delay.since(pid, waited)
 	g.mu.Unlock()
+	l.delayed(g.name, late, from, to)
+}
+
+// delayed notes that a process had no core for so long, if that was long.
+func (l *Lab) delayed(name string, late time.Duration, from, to time.Time) {
 	if late > lateRun {
-		l.lateFor(g.name, from, to, fmt.Sprintf("%s was ready to run and not run for %v", g.name, late.Round(time.Millisecond)))
+		l.lateFor(name, from, to, fmt.Sprintf("%s was ready to run and not run for %v", name, late.Round(time.Millisecond)))
 	}
 }
 
@@ -120,16 +135,9 @@
 	if a.cmd != nil && a.cmd.Process != nil {
 		pid = a.cmd.Process.Pid
 	}
-	waited := runDelay("/proc/" + strconv.Itoa(pid))
-	late := time.Duration(0)
-	if a.lookedAt == pid {
-		late = waited - a.waited
-	}
-	a.lookedAt, a.waited = pid, waited
+	late := a.delay.since(pid, runDelay("/proc/"+strconv.Itoa(pid)))
 	a.mu.Unlock()
-	if late > lateRun {
-		l.lateFor(a.name, from, to, fmt.Sprintf("%s was ready to run and not run for %v", a.name, late.Round(time.Millisecond)))
-	}
+	l.delayed(a.name, late, from, to)
 }
 
 func peakMB(dir string) float64 {
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -145,13 +145,28 @@
 	c.trouble = t
 }
 
+// draw returns the present trouble, and what of it strikes the next message.
+func (c *Collector) draw() (t Trouble, refuse, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.trouble, c.rng.Float64() < c.trouble.Refuse, c.rng.Float64() < c.trouble.Lost
+}
+
+// endless writes an answer that has no end, until its reader has left.
+func endless(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		if _, err := w.Write(make([]byte, 1<<10)); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		wait.For(r.Context(), endlessGap)
+	}
+}
+
 // take answers one message.
 func (c *Collector) take(keep func(body []byte, refuse bool) (refused int, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c.mu.Lock()
-		t := c.trouble
-		refuse, lost := c.rng.Float64() < t.Refuse, c.rng.Float64() < t.Lost
-		c.mu.Unlock()
+		t, refuse, lost := c.draw()
 		body, err := read(r)
 		switch {
 		case err != nil:
@@ -180,13 +195,7 @@
 		}
 		w.Header().Set("Content-Type", "application/x-protobuf")
 		if t.Endless {
-			for r.Context().Err() == nil {
-				if _, err := w.Write(make([]byte, 1<<10)); err != nil {
-					return
-				}
-				w.(http.Flusher).Flush()
-				wait.For(r.Context(), endlessGap)
-			}
+			endless(w, r)
 			return
 		}
 		w.Write(reply(refused))
--- a/internal/standin/collector/grpc.go
+++ b/internal/standin/collector/grpc.go
@@ -22,10 +22,7 @@
 // takeCall answers one unary call of gRPC.
 func (c *Collector) takeCall(keep func(body []byte, refuse bool) (refused int, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c.mu.Lock()
-		t := c.trouble
-		refuse, lost := c.rng.Float64() < t.Refuse, c.rng.Float64() < t.Lost
-		c.mu.Unlock()
+		t, refuse, lost := c.draw()
 		w.Header().Set("Content-Type", "application/grpc")
 		end := func(status int, details []byte) {
 			w.Header().Set(http.TrailerPrefix+"Grpc-Status", strconv.Itoa(status))
@@ -60,12 +57,9 @@
 		if lost {
 			panic(http.ErrAbortHandler)
 		}
-		for t.Endless && r.Context().Err() == nil {
-			if _, err := w.Write(make([]byte, 1<<10)); err != nil {
-				return
-			}
-			w.(http.Flusher).Flush()
-			wait.For(r.Context(), endlessGap)
+		if t.Endless {
+			endless(w, r)
+			return
 		}
 		message := reply(refused)
 		frame := binary.BigEndian.AppendUint32([]byte{0}, uint32(len(message)))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -307,7 +307,7 @@
 	x := Start(set, now, figures, quiet)
 	for i := range 100_000 {
 		at := now()
-		b := &stories.Begin{Account: uint64(i), Method: "GET", Sent: at}
+		b := &stories.Begin{Client: fmt.Sprint(i), Method: "GET", Sent: at}
 		x.Tell(stories.Event{Kind: stories.Began, At: at, Begin: b})
 		x.Tell(stories.Event{Kind: stories.Answered, At: at, Begin: b, Status: 429})
 		if i%1000 == 999 {
--- a/stories/tally.go
+++ b/stories/tally.go
@@ -9,12 +9,11 @@
 // Tally counts what became of requests, in sums that only grow. Its series are as
 // many as classes, plans and outcomes, whoever the clients are.
 type Tally struct {
-	classes, plans int
-	aims           []float64
+	plans int
+	aims  []float64
 
 	Tries    []uint64     // by class and plan: requests taken in
 	First    []uint64     // of these, such as no client marked as another try
-	Units    []float64    // by plan, of requests that were let in
 	InTime   []uint64     // by class and plan: served within the aim of the class
 	Ends     [][]uint64   // by class, then End
 	Attempts []uint64     // by rules.Outcome
@@ -49,8 +48,8 @@
 // NewTally counts for a gateway with these classes and plans.
 func NewTally(set Settings) *Tally {
 	n := len(set.Classes) * len(set.Plans)
-	t := &Tally{classes: len(set.Classes), plans: len(set.Plans), aims: set.Aims, Tries: make([]uint64, n), First: make([]uint64, n),
-		InTime: make([]uint64, n), Units: make([]float64, len(set.Plans)), Attempts: make([]uint64, Outcomes)}
+	t := &Tally{plans: len(set.Plans), aims: set.Aims, Tries: make([]uint64, n), First: make([]uint64, n),
+		InTime: make([]uint64, n), Attempts: make([]uint64, Outcomes)}
 	for range set.Classes {
 		t.Ends = append(t.Ends, make([]uint64, Ends))
 		t.Latency = append(t.Latency, NewHistogram())
--- a/stories/teller.go
+++ b/stories/teller.go
@@ -30,7 +30,6 @@
 	Context  Context // the client's; Parent all zero: it brought none
 	Self     Context // of the request's own span; what goes on bears it
 	Client   string  // the client's own id of the try
-	Account  uint64
 	Class    int
 	Plan     int
 	Units    float64
