Elect a leader where a voter lacks the newest list of voters, and name who lacks it

At fault is the look-up of the candidate in raft.requestVote and requestPreVote of the library; raft itself has a voter vote for one that it does not know (dissertation, 4.2.2).

It also notes what each voter says it has, so that `members add` and `members remove` wait for all of them and name those that lack the change.

--- a/cmd/elderctl/members.go
+++ b/cmd/elderctl/members.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -22,6 +23,16 @@
 	return nil
 }
 
+// noted says that a change of the voters is done, or which of them have yet to note it and what that risks.
+func noted(cmd *cobra.Command, change agent.MemberChange) error {
+	fmt.Fprintln(cmd.OutOrStdout(), "done")
+	if len(change.Lacking) == 0 {
+		return nil
+	}
+	return &exitError{exitPartly, fmt.Errorf("%s: not heard to have noted it; until then the site bears the loss of one voter fewer, so let no other voter end (see %q on the operators' page)",
+		strings.Join(change.Lacking, ", "), "Voters come and go")}
+}
+
 func changeCommand(use, short string) *cobra.Command {
 	return verb(use, short, "  elderctl "+use, cobra.NoArgs, func(cmd *cobra.Command, client *agent.Client, _ []string) error {
 		return do(cmd, client, use, agent.Verb{})
@@ -67,7 +78,11 @@
 		}))
 	add := verb("add NAME ADDRESS", "Make an agent a voter", "  elderctl members add a2 10.0.0.2:7946", cobra.ExactArgs(2),
 		func(cmd *cobra.Command, client *agent.Client, args []string) error {
-			return do(cmd, client, "members/add", agent.Verb{Name: args[0], Address: args[1]})
+			change, err := client.AddMember(cmd.Context(), agent.Verb{Name: args[0], Address: args[1]})
+			if err != nil {
+				return err
+			}
+			return noted(cmd, change)
 		})
 	var whole bool
 	remove := verb("remove NAME", "Take a voter out; with --agent-too, forget the agent and its instances", "  elderctl members remove a2", cobra.ExactArgs(1),
@@ -81,15 +96,18 @@
 				voter = voter || v.Name == args[0]
 			}
 			v := agent.Verb{Name: args[0]}
-			if !whole {
-				return do(cmd, client, "members/remove", v)
+			var change agent.MemberChange
+			if voter || !whole {
+				if change, err = client.RemoveMember(cmd.Context(), v); err != nil {
+					return err
+				}
 			}
-			if voter {
-				if err := client.Do(cmd.Context(), "members/remove", v); err != nil {
+			if whole {
+				if err := client.Do(cmd.Context(), "agents/remove", v); err != nil {
 					return err
 				}
 			}
-			return do(cmd, client, "agents/remove", v)
+			return noted(cmd, change)
 		})
 	remove.Flags().BoolVar(&whole, "agent-too", false, "forget the agent with its instances as well; one that still runs joins again")
 	return group("members", "List, add and remove voters and agents", list, add, remove)
--- a/internal/agent/agent_linux_test.go
+++ b/internal/agent/agent_linux_test.go
@@ -435,8 +435,8 @@
 		m := newMachine(t, fmt.Sprint("a", i), i < 3, []string{first.config.Listen}, instances(t, fmt.Sprint("g", i))...).start()
 		list = append(list, m)
 		if i < 3 {
-			if err := first.client.Do(context.Background(), "members/add", Verb{m.config.Name, m.config.Listen}); err != nil {
-				t.Fatal(err)
+			if m, err := first.client.AddMember(context.Background(), Verb{m.config.Name, m.config.Listen}); err != nil || m.Lacking != nil {
+				t.Fatal(m, err)
 			}
 		}
 	}
@@ -691,8 +691,8 @@
 	m.config.Listen, m.config.Advertise, m.config.Plain = "127.0.0.1:0", "127.0.0.1:0", true
 	m.start()
 	other := newMachine(t, "a2", true, []string{m.config.Listen}, instances(t, "g1")...).start()
-	if err := m.client.Do(context.Background(), "members/add", Verb{"a2", other.config.Listen}); err != nil {
-		t.Fatal(err)
+	if m, err := m.client.AddMember(context.Background(), Verb{"a2", other.config.Listen}); err != nil || m.Lacking != nil {
+		t.Fatal(m, err)
 	}
 	list, err := other.client.Members(context.Background())
 	if err != nil || len(list.Voters) != 2 || list.Voters[0].Address != m.config.Listen {
@@ -725,8 +725,8 @@
 	}
 	m := secure(newMachine(t, "a1", true, nil, instances(t, "g0")...)).start()
 	other := secure(newMachine(t, "a2", true, []string{m.config.Listen}, instances(t, "g1")...)).start()
-	if err := m.client.Do(context.Background(), "members/add", Verb{"a2", other.config.Listen}); err != nil {
-		t.Fatal(err)
+	if m, err := m.client.AddMember(context.Background(), Verb{"a2", other.config.Listen}); err != nil || m.Lacking != nil {
+		t.Fatal(m, err)
 	}
 	as := func(name string, at *machine) *Client {
 		c, err := NewClient(Target{Address: at.config.Listen, Files: files(name)})
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -277,11 +277,21 @@
 	if a.port == nil {
 		return nil, &Failure{codeRefused, "this voter has no port: set listen in its file before others join"}
 	}
-	if err := a.store.Add(v.Name, v.Address); err != nil {
+	change, err := a.store.Add(v.Name, v.Address)
+	if err != nil {
 		return nil, err
 	}
-	_, err := a.propose(ctx, fleet.Entry{Noted: &fleet.Event{At: time.Now().UTC(), Who: c.name, What: fmt.Sprintf("voter %s at %s was added", v.Name, v.Address)}})
-	return struct{}{}, err
+	_, err = a.propose(ctx, fleet.Entry{Noted: &fleet.Event{At: time.Now().UTC(), Who: c.name, What: fmt.Sprintf("voter %s at %s was added", v.Name, v.Address)}})
+	if err != nil {
+		return nil, err
+	}
+	return a.noted(ctx, change)
+}
+
+// noted tells which voters have yet to note a change of the voters.
+func (a *Agent) noted(ctx context.Context, change replica.Change) (any, error) {
+	lacking, err := a.store.Lacking(ctx, change)
+	return MemberChange{lacking}, err
 }
 
 func (a *Agent) removeMember(ctx context.Context, c *call) (any, error) {
@@ -296,7 +306,11 @@
 	if _, err := a.propose(ctx, fleet.Entry{Noted: &fleet.Event{At: time.Now().UTC(), Who: c.name, What: fmt.Sprintf("voter %s is to be removed", v.Name)}}); err != nil {
 		return nil, err
 	}
-	return struct{}{}, a.store.Remove(v.Name)
+	change, err := a.store.Remove(v.Name)
+	if err != nil {
+		return nil, err
+	}
+	return a.noted(ctx, change)
 }
 
 func (a *Agent) removeAgent(ctx context.Context, c *call) (any, error) {
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -184,12 +184,21 @@
 	return l, c.call(ctx, http.MethodPost, "/v1/probe", content, &l)
 }
 
-// Do makes one change: pause, resume, abort, drain, undrain, members/add,
-// members/remove or agents/remove.
+// Do makes one change: pause, resume, abort, drain, undrain or agents/remove.
 func (c *Client) Do(ctx context.Context, verb string, v Verb) error {
 	return c.call(ctx, http.MethodPost, "/v1/"+verb, v, &struct{}{})
 }
 
+// AddMember makes an agent a voter, and tells which voters have yet to note it.
+func (c *Client) AddMember(ctx context.Context, v Verb) (m MemberChange, err error) {
+	return m, c.call(ctx, http.MethodPost, "/v1/members/add", v, &m)
+}
+
+// RemoveMember takes a voter out, and tells the same.
+func (c *Client) RemoveMember(ctx context.Context, v Verb) (m MemberChange, err error) {
+	return m, c.call(ctx, http.MethodPost, "/v1/members/remove", v, &m)
+}
+
 // Snapshot saves the site's state.
 func (c *Client) Snapshot(ctx context.Context) ([]byte, error) {
 	var text json.RawMessage
--- a/internal/agent/lead.go
+++ b/internal/agent/lead.go
@@ -149,7 +149,8 @@
 	}
 	for _, m := range members {
 		if m.Name == l.name && m.Address != l.address && l.address != "" {
-			return l.store.Add(l.name, l.address)
+			_, err := l.store.Add(l.name, l.address)
+			return err
 		}
 	}
 	return nil
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -116,6 +116,11 @@
 	Agents []fleet.Agent    `json:"agents"`
 }
 
+// MemberChange is what a change of the voters has come to: a majority has agreed.
+type MemberChange struct {
+	Lacking []string `json:"lacking,omitempty"` // voters that have yet to note it, by name
+}
+
 // Audit is the log of changes, and of what this agent refused.
 type Audit struct {
 	Stale   string        `json:"stale,omitempty"`
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -61,7 +61,7 @@
 // Store is one voter.
 type Store struct {
 	raft      *raft.Raft
-	transport *raft.NetworkTransport
+	transport *wire
 	logs      *raftbolt.BoltStore
 	watched   *watchedLogs
 	fsm       *machine
@@ -223,8 +223,9 @@
 
 	s = &Store{logs: logs, id: c.ID, fsm: &machine{changed: make(chan struct{})}, patience: 10 * c.Heartbeat}
 	s.watched = &watchedLogs{LogStore: logs, spoil: c.Spoil, broken: make(chan struct{}), release: make(chan struct{})}
-	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: c.Streams, MaxPool: connections,
-		Timeout: s.patience, Logger: logger})
+	// One call at a time to a voter, so that each goes through wire: a site's state changes once in seconds.
+	transport := newWire(raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: c.Streams, MaxPool: connections,
+		MaxRPCsInFlight: 1, Timeout: s.patience, Logger: logger}))
 	defer func() {
 		if err != nil {
 			transport.Close()
@@ -380,24 +381,55 @@
 	return list, nil
 }
 
-// Add makes an agent a voter. The leader alone can.
-func (s *Store) Add(name, address string) error {
-	return s.sort(s.raft.AddVoter(raft.ServerID(name), raft.ServerAddress(address), 0, s.patience).Error())
+// Change is a change of the voters that a majority has agreed on.
+type Change struct{ at position }
+
+// Add makes an agent a voter. The leader alone can. A majority has agreed when it returns; see Lacking for the rest.
+func (s *Store) Add(name, address string) (Change, error) {
+	return s.changed(s.raft.AddVoter(raft.ServerID(name), raft.ServerAddress(address), 0, s.patience))
 }
 
 // Remove takes a voter out. The leader alone can; it must not leave none.
-func (s *Store) Remove(name string) error {
+func (s *Store) Remove(name string) (Change, error) {
 	list, err := s.Members()
 	if err != nil {
-		return err
+		return Change{}, err
 	}
 	if !slices.ContainsFunc(list, func(m Member) bool { return m.Name == name }) {
-		return fmt.Errorf("%s is no voter", name)
+		return Change{}, fmt.Errorf("%s is no voter", name)
 	}
 	if len(list) == 1 {
-		return fmt.Errorf("%s is the only voter: a site needs one", name)
+		return Change{}, fmt.Errorf("%s is the only voter: a site needs one", name)
+	}
+	return s.changed(s.raft.RemoveServer(raft.ServerID(name), 0, s.patience))
+}
+
+func (s *Store) changed(change raft.IndexFuture) (Change, error) {
+	if err := change.Error(); err != nil {
+		return Change{}, s.sort(err)
+	}
+	return Change{position{s.raft.CurrentTerm(), change.Index()}}, nil
+}
+
+// Lacking waits until every voter has noted a change, as long as one call to a voter may take, and returns those
+// that have not, or are not heard of. A leader that has taken itself out tells what it last heard.
+func (s *Store) Lacking(ctx context.Context, c Change) ([]string, error) {
+	members, err := s.Members()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
+	defer cancel()
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.Name == s.id }) {
+		cancel()
+	}
+	var others []raft.ServerID
+	for _, m := range members {
+		if m.Name != s.id {
+			others = append(others, raft.ServerID(m.Name))
+		}
 	}
-	return s.sort(s.raft.RemoveServer(raft.ServerID(name), 0, s.patience).Error())
+	return s.transport.settled(ctx, others, c.at), nil
 }
 
 // Load has all voters take a saved state in place of theirs. The leader alone
--- a/internal/replica/store_test.go
+++ b/internal/replica/store_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -91,11 +92,21 @@
 	}
 	until(t, "the first leads", func() bool { return list[0].store.Confirm() == nil })
 	for _, v := range list[1:] {
-		must(t, list[0].store.Add(v.name, v.address))
+		add(t, list[0], v)
 	}
 	return n, list
 }
 
+// add makes one a voter, and waits until all have noted it.
+func add(t testing.TB, l, fresh *voter) {
+	t.Helper()
+	change, err := l.store.Add(fresh.name, fresh.address)
+	must(t, err)
+	if lacking, err := l.store.Lacking(context.Background(), change); err != nil || lacking != nil {
+		t.Fatalf("%v lack it, %v", lacking, err)
+	}
+}
+
 func leader(t testing.TB, list []*voter) *voter {
 	t.Helper()
 	var found *voter
@@ -150,7 +161,7 @@
 			t.Fatalf("%+v", r)
 		}
 	}
-	if err := v.store.Remove("v0"); err == nil {
+	if _, err := v.store.Remove("v0"); err == nil {
 		t.Fatal("the only voter was removed")
 	}
 }
@@ -174,6 +185,80 @@
 	until(t, "the one that was away has it all", func() bool { return head(first.store).Number == 2 })
 }
 
+// A voter is added while another hears nothing, and the leader dies: who was added is all that can lead, and the
+// other must vote for it though it has never heard of it.
+func TestALeaderDiesBeforeAllHaveNotedAnAdd(t *testing.T) {
+	n := newNetwork()
+	var list []*voter
+	for i := range 3 {
+		v := newVoter(t, n, fmt.Sprint("v", i))
+		v.bootstrap = i == 0
+		must(t, v.start(t))
+		list = append(list, v)
+	}
+	until(t, "the first leads", func() bool { return list[0].store.Confirm() == nil })
+	add(t, list[0], list[1])
+	propose(t, list[0].store, command("1", 0, "a"))
+	propose(t, list[0].store, turn(1))
+	// Calls from the leader to the second vanish; it is not heard of, and it must not be elected meanwhile.
+	n.set("v0", "v1", true)
+	change, err := list[0].store.Add("v2", list[2].address)
+	must(t, err)
+	lacking, err := list[0].store.Lacking(context.Background(), change)
+	if err != nil || !slices.Equal(lacking, []string{"v1"}) {
+		t.Fatalf("%v lack it, %v", lacking, err)
+	}
+	list[0].stop()
+	if m, err := list[1].store.Members(); err != nil || len(m) != 2 {
+		t.Fatalf("the second knows %v, %v: this plays another case", m, err)
+	}
+	if l := leader(t, list[1:]); l != list[2] {
+		t.Fatalf("%s leads", l.name)
+	}
+	if out := propose(t, list[2].store, command("2", 1, "b")); out.Result.Answer != revisions.Accepted {
+		t.Fatalf("%+v", out)
+	}
+	until(t, "the second has it all", func() bool {
+		m, err := list[1].store.Members()
+		return err == nil && len(m) == 3 && head(list[1].store).Number == 2
+	})
+}
+
+// Who was taken out and was not told must not keep the others from their leader.
+func TestAVoterTakenOutDisturbsNobody(t *testing.T) {
+	n, list := three(t)
+	l := leader(t, list)
+	var gone, other *voter
+	for _, v := range list {
+		switch {
+		case v == l:
+		case gone == nil:
+			gone = v
+		default:
+			other = v
+		}
+	}
+	n.set(l.name, gone.name, true) // the word of it vanishes
+	change, err := l.store.Remove(gone.name)
+	must(t, err)
+	if lacking, err := l.store.Lacking(context.Background(), change); err != nil || lacking != nil {
+		t.Fatalf("%v lack it, %v", lacking, err)
+	}
+	term := l.store.raft.CurrentTerm()
+	until(t, "it asks for votes", func() bool { id, _ := gone.store.Leader(); return id == "" })
+	n.set(l.name, gone.name, false)
+	for range 10 {
+		time.Sleep(heartbeat)
+		must(t, l.store.Confirm())
+	}
+	if now := l.store.raft.CurrentTerm(); now != term || !l.store.Leading() {
+		t.Fatalf("term %d, %d before; leading: %v", now, term, l.store.Leading())
+	}
+	if id, _ := other.store.Leader(); id != l.name {
+		t.Fatalf("the other follows %q", id)
+	}
+}
+
 func TestAMinorityTakesNothingAndStillShows(t *testing.T) {
 	n, list := three(t)
 	old := leader(t, list)
@@ -215,20 +300,24 @@
 			gone = v
 		}
 	}
-	must(t, l.store.Remove(gone.name))
-	if err := l.store.Remove(gone.name); err == nil {
+	change, err := l.store.Remove(gone.name)
+	must(t, err)
+	if lacking, err := l.store.Lacking(context.Background(), change); err != nil || lacking != nil {
+		t.Fatalf("%v lack it, %v", lacking, err)
+	}
+	if _, err := l.store.Remove(gone.name); err == nil {
 		t.Fatal("one that is no voter was removed")
 	}
 	fresh := newVoter(t, n, "v9")
 	must(t, fresh.start(t))
-	must(t, l.store.Add(fresh.name, fresh.address))
+	add(t, l, fresh)
 	until(t, "the new one has it all", func() bool { return head(fresh.store).Number == 1 })
 	members, err := l.store.Members()
 	if err != nil || len(members) != 3 || members[2].Name != "v9" {
 		t.Fatalf("%v %+v", err, members)
 	}
 	for _, v := range list {
-		if v != l && fresh.store.Add("x", "y") == nil {
+		if _, err := fresh.store.Add("x", "y"); v != l && err == nil {
 			t.Fatal("a follower added a voter")
 		}
 	}
