Weigh the counter's last call by the time since the one before

At fault: crowdGain in rules.go, a weight by calls where the time counts.

Change: a call weighs by the time since the last one over 2 s, 0.05 at least and 0.3 at most; a gateway with more than ten calls a second does as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,7 +41,8 @@
 	counterRest  = 0.25 // first pause after a failed call, seconds; doubles
 	counterMost  = 2.0  // longest pause
 	demandSpan   = 2.0  // seconds over which demand is averaged
-	crowdGain    = 0.05 // weight of the newest call in the share of calls that fail
+	crowdGain    = 0.05 // least weight of the newest call in the share of calls that fail
+	crowdSpan    = 2.0  // seconds of that share, where calls are so few that one would weigh less
 	crowdFactor  = 4.0  // so many times that share of calls are left out: a crowded counter gets air
 	crowdMost    = 0.9
 
@@ -1010,7 +1011,9 @@
 		return
 	}
 	c := k.customer
-	g.crowd -= crowdGain * g.crowd
+	gain := min(max((g.now-g.crowdAt)/crowdSpan, crowdGain), 0.3)
+	g.crowdAt = g.now
+	g.crowd -= gain * g.crowd
 	if (e.Outcome == TimedOut || e.Outcome == Broken) && !k.slot && k.window == c.window {
 		c.doubt += k.units + math.Abs(k.fill)
 		if e.Outcome == TimedOut {
@@ -1040,7 +1043,7 @@
 		case !k.slot:
 			c.tellLater(k)
 		}
-		g.crowd += crowdGain
+		g.crowd += gain
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 		c.restTill = g.now + c.rest
 	case k.units > 0 && !k.slot:
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,7 +41,7 @@
 	retries           float64 // saved up
 	untold, told      float64 // units paid lately by local shares, and by leases
 	held              float64 // requests at a backend, mean of what was told
-	crowd             float64 // share of counter calls that fail
+	crowd, crowdAt    float64 // share of counter calls that fail, and when the last one ended
 	warmRate          float64 // own sends a second to a warm backend
 	warmSent          int
 	lastHouse         float64
