Tell of untold units by plan

Cause: a call tells the counter for units that local shares paid and nobody tells, by the gateway's mean over all plans. At fault: one untold and one told in rules.go for all plans.

Change: the two are kept by plan.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -776,7 +776,10 @@
 		g.warmRate += gain * (float64(g.warmSent)/span/float64(warm) - g.warmRate)
 	}
 	g.warmSent = 0
-	g.untold, g.told = g.untold*math.Exp(-span/untoldSpan), g.told*math.Exp(-span/untoldSpan)
+	for i := range g.untold {
+		g.untold[i] *= math.Exp(-span / untoldSpan)
+		g.told[i] *= math.Exp(-span / untoldSpan)
+	}
 	for l := range g.arrivals {
 		g.arrivals[l] += gain * (g.arrived[l]/span - g.arrivals[l])
 		g.arrived[l] = 0
@@ -871,7 +874,7 @@
 			switch {
 			case c.units >= j.Units:
 				g.spend(c, j.Units)
-				g.told += j.Units
+				g.told[j.Plan] += j.Units
 			case c.asking > 0:
 				return
 			case g.now < c.dryUntil && j.least() >= c.dryFor:
@@ -890,7 +893,7 @@
 					continue
 				}
 				c.owed += j.Units
-				g.untold += j.Units
+				g.untold[j.Plan] += j.Units
 				shared = false
 			default:
 				g.lease(c)
@@ -995,8 +998,10 @@
 	if g.wide() {
 		// Danger: of a customer that comes through many gateways each sees one request in a while, so what a
 		// local share paid is hardly ever told with a later call, and the counter would see half of the use.
-		// Each call speaks for the units of others that went untold.
-		k.fill += need * min(g.untold/max(g.told, 1), untoldMost)
+		// Each call speaks for the units of others of its plan that went untold: local shares bear more of a plan
+		// whose customers come seldom.
+		p := c.waiting[0].Plan
+		k.fill += need * min(g.untold[p]/max(g.told[p], 1), untoldMost)
 	}
 	g.count(k, nameKeep)
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -37,12 +37,12 @@
 	load              float64 // mean of inFlight
 	pressure          float64 // mean of latency over aim
 	pressedAt         float64
-	latency, spread   float64 // mean of answers and its mean deviation
-	retries           float64 // saved up
-	untold, told      float64 // units paid lately by local shares, and by leases
-	held              float64 // requests at a backend, mean of what was told
-	crowd, crowdAt    float64 // share of counter calls that fail, and when the last one ended
-	warmRate          float64 // own sends a second to a warm backend
+	latency, spread   float64   // mean of answers and its mean deviation
+	retries           float64   // saved up
+	untold, told      []float64 // by plan: units paid lately by local shares, and by leases
+	held              float64   // requests at a backend, mean of what was told
+	crowd, crowdAt    float64   // share of counter calls that fail, and when the last one ended
+	warmRate          float64   // own sends a second to a warm backend
 	warmSent          int
 	lastHouse         float64
 	patience          []patience
@@ -240,6 +240,8 @@
 	g.queues = make([][]*job, len(g.worths))
 	g.arrivals = make([]float64, len(g.worths))
 	g.arrived = make([]float64, len(g.worths))
+	g.untold = make([]float64, len(g.set.Plans))
+	g.told = make([]float64, len(g.set.Plans))
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
 }
 
