Give larger stores larger local shares, and go back to the counter as soon as it answers

(b) After 6 s without a counter a gateway of 100 still leaves calls out for seconds, as one call weighs 0.3 at most however long ago the last one was.

Change: (a) the local share of a large fleet grows with the plan's store against the smallest, up to 2 units (terms). (b) The last call weighs by the time since the one before, up to all of it (counted). Stand-ins and voters' tests listen on loopback addresses of their own, so that nobody takes a stopped one's port.

--- a/internal/agent/agent_linux_test.go
+++ b/internal/agent/agent_linux_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"linnetbend/fleet"
+	"linnetbend/internal/loopback"
 	"linnetbend/internal/pki"
 	"linnetbend/internal/replica"
 	"linnetbend/internal/strict"
@@ -143,23 +144,13 @@
 	client *Client
 }
 
-var hosts atomic.Int64
-
-// host is a loopback address of its own: a gateway starts again on its port, which
-// nobody else may take meanwhile.
-func host() string {
-	n := hosts.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+n/200, 1+n%200)
-}
-
 func instances(t testing.TB, names ...string) (list []InstanceEntry) {
 	for _, n := range names {
-		l, err := net.Listen("tcp", host()+":0")
+		at, err := loopback.Free()
 		if err != nil {
 			t.Fatal(err)
 		}
-		list = append(list, InstanceEntry{Name: n, Listen: l.Addr().String(), Env: []string{asGateway + "=1"}})
-		l.Close()
+		list = append(list, InstanceEntry{Name: n, Listen: at, Env: []string{asGateway + "=1"}})
 	}
 	return list
 }
@@ -173,7 +164,7 @@
 	}
 	c := defaults()
 	d := func(d time.Duration) strict.Duration { return strict.Duration(d) }
-	at := host() + ":0"
+	at := loopback.Host() + ":0"
 	c.Name, c.Dir, c.Listen, c.Advertise, c.Plain, c.Voter, c.Voters, c.Gateway, c.Instances = name, dir, at, at, true, voter, others, os.Args[0], list
 	c.Socket = filepath.Join(dir, "agent.sock")
 	c.Timing.Report, c.Timing.Heartbeat, c.Timing.Settle, c.Timing.FetchWithin = d(50*time.Millisecond), d(500*time.Millisecond), d(2*time.Second), d(3*time.Second)
@@ -794,7 +785,7 @@
 func TestLimitCommandsFollowTheRevision(t *testing.T) {
 	t.Parallel()
 	m := newMachine(t, "a1", true, nil, instances(t, "g0")...)
-	l, err := net.Listen("tcp", host()+":0")
+	l, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +18,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"linnetbend/internal/loopback"
 	"linnetbend/internal/output"
 	"linnetbend/internal/wait"
 )
@@ -65,20 +64,20 @@
 	f := l.site.fleet
 	var addresses []string
 	for i, g := range l.gateways {
-		at, err := ownPort()
+		at, err := loopback.Free()
 		if err != nil {
 			return fmt.Errorf("%s: %w", g.name, err)
 		}
 		g.mu.Lock()
 		g.address = at
 		g.mu.Unlock()
-		if at, err = ownPort(); err != nil {
+		if at, err = loopback.Free(); err != nil {
 			return fmt.Errorf("%s: %w", g.name, err)
 		}
 		a := &agentProcess{name: agentName(i), address: at, file: filepath.Join(l.dir, fmt.Sprintf("a%d.toml", i)),
 			socket: filepath.Join(l.dir, fmt.Sprintf("a%d.sock", i))}
 		if i < f.Fronts {
-			if a.limits, err = ownPort(); err != nil {
+			if a.limits, err = loopback.Free(); err != nil {
 				return fmt.Errorf("%s: %w", a.name, err)
 			}
 		}
@@ -163,17 +162,6 @@
 	return nil
 }
 
-// ownPort finds a port on a loopback address that nobody else uses: gateways and
-// agents start again on theirs.
-func ownPort() (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%200, 1+rand.IntN(250), 1+rand.IntN(250)))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // WriteRevision writes a revision's file, changed by change, and returns it with
 // the arguments that give each instance its overlay.
 func (l *Lab) WriteRevision(name string, change func(file map[string]any)) (path string, overlays []string, err error) {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -15,6 +15,7 @@
 
 	"linnetbend/internal/files"
 	"linnetbend/internal/lab/audit"
+	"linnetbend/internal/loopback"
 	"linnetbend/internal/output"
 )
 
@@ -115,13 +116,13 @@
 		fresh := g.starts == 0 || try > 1
 		g.mu.Unlock()
 		if fresh {
-			address, err := ownPort()
+			address, err := loopback.Free()
 			if err != nil {
 				return fmt.Errorf("%s: %w", g.name, err)
 			}
 			limits := ""
 			if l.takesLimits(g) {
-				if limits, err = ownPort(); err != nil {
+				if limits, err = loopback.Free(); err != nil {
 					return fmt.Errorf("%s: %w", g.name, err)
 				}
 			}
--- a/internal/replica/store_test.go
+++ b/internal/replica/store_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/raft"
 
 	"linnetbend/fleet"
+	"linnetbend/internal/loopback"
 	"linnetbend/revisions"
 	"linnetbend/rollout"
 )
@@ -36,7 +37,7 @@
 }
 
 func newVoter(t testing.TB, n *network, name string) *voter {
-	v := &voter{name: name, dir: filepath.Join(t.TempDir(), name), address: "127.0.0.1:0", n: n}
+	v := &voter{name: name, dir: filepath.Join(t.TempDir(), name), address: loopback.Host() + ":0", n: n}
 	t.Cleanup(func() { v.stop() })
 	return v
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"linnetbend/internal/loopback"
 )
 
 const (
@@ -46,7 +48,7 @@
 func Listen(peer string) (*Link, error) {
 	l := &Link{peer: peer, conns: map[*Conn]struct{}{}, fills: map[string]bool{}}
 	l.changed = sync.NewCond(&l.mu)
-	if err := l.open("127.0.0.1:0"); err != nil {
+	if err := l.open(loopback.Host() + ":0"); err != nil {
 		return nil, err
 	}
 	return l, nil
@@ -283,7 +285,7 @@
 			return nil
 		}
 	}
-	return l.open("127.0.0.1:0")
+	return l.open(loopback.Host() + ":0")
 }
 
 // Close ends the link and resets its connections.
--- /dev/null
+++ b/rules/fleet_counter_test.go
@@ -0,0 +1,76 @@
+package rules
+
+import "testing"
+
+// A counter that was away for seconds must be used again once it is back: each gateway of many hears of few calls,
+// and what they said while it was away must not keep it from calling.
+func TestCallsComeBackWithTheCounter(t *testing.T) {
+	f := newFleet(5, 100, 60, func(s *Settings) {
+		s.Plans = []Plan{{Price: 1, Rate: 0.6, Burst: 3, OverCost: 1.2}}
+	})
+	f.perS = 100 // of 600 tries a second
+	f.load(600, f.now+20)
+	f.run(f.now + 5)
+	f.away = true
+	f.run(f.now + 6)
+	f.away = false
+	back := int(f.now)
+	f.run(f.now + 4)
+	for s := back + 2; s < back+4; s++ {
+		if n := f.inSecond[s]; n < 8*f.perS/10 {
+			t.Errorf("%d s after the counter is back it is asked for %d of the %d calls that it bears", s-back, n, f.perS)
+		}
+	}
+}
+
+// Plans whose customers come often are paid by leases, those whose customers come seldom by local shares. A call must
+// tell for the untold units of its own plan: else the first are refused for units that nobody spent.
+func TestCallsTellForTheirOwnPlan(t *testing.T) {
+	set := testSettings()
+	set.Fleet = 300
+	set.Plans = []Plan{{Price: 1, Rate: 0.8, Burst: 4}, {Price: 2, Rate: 12, Burst: 20}}
+	d := start(t, set, some(2)...)
+	d.g.bound = 1000
+	d.g.untold[0], d.g.told[0] = 6, 4 // seldom: three in five go untold
+	d.g.untold[1], d.g.told[1] = 0, 9
+	for plan, tells := range []float64{1 + 6.0/4, 1} {
+		d.nextID++
+		out := d.handle(Request{ID: d.nextID, Plan: plan, Customer: CustomerID(90 + plan), Units: 1, Gateways: 200, Deadline: d.now + 2})
+		if c := one[Count](t, out); c.Amount != tells {
+			t.Errorf("plan %d: a call tells %v units, not %v", plan, c.Amount, tells)
+		}
+	}
+}
+
+// One whole unit at each of hundreds of gateways is fifty times a small store's share. A customer with a larger store,
+// and with so many times the demand, must not have fewer times its own, and none may have more than a few units.
+func TestLargerStoresHaveLargerLocalShares(t *testing.T) {
+	set := testSettings()
+	set.Fleet = 300
+	set.Plans = []Plan{{Price: 1, Rate: 0.8, Burst: 4}, {Price: 2, Rate: 4, Burst: 6}, {Price: 2, Rate: 12, Burst: 20}, {Price: 1}}
+	d := start(t, set, some(2)...)
+	d.g.bound = 1000
+	for plan, want := range []int{1, 1, 2, 4} {
+		sent := 0
+		for range 4 {
+			d.nextID++
+			who := CustomerID(90 + plan)
+			if c := d.g.customers[who]; c != nil {
+				c.restTill = d.now + 10
+			}
+			out := d.handle(Request{ID: d.nextID, Plan: plan, Customer: who, Units: 1, Gateways: 200, Deadline: d.now + 2})
+			for _, a := range out {
+				switch a := a.(type) {
+				case Send:
+					sent++
+				case Count: // the counter is away
+					out := d.handle(CounterReply{Name: a.Name, Outcome: ConnectFailed})
+					sent += len(find[Send](out))
+				}
+			}
+		}
+		if sent != want {
+			t.Errorf("plan %d: %d of 4 requests are sent while the counter is away, not %d", plan, sent, want)
+		}
+	}
+}
--- a/rules/fleet_test.go
+++ b/rules/fleet_test.go
@@ -21,6 +21,7 @@
 	totals   map[uint64]float64
 	calls    int // to the counter, so far
 	perS     int // it takes so many a second and turns others away; 0: all
+	away     bool
 	inSecond map[int]int
 	jobs     map[RequestID]*fleetJob
 }
@@ -122,13 +123,15 @@
 			f.at(f.now+a.In, same(func() { f.handle(i, Timer{Token: a.Token}) }))
 		case Count:
 			f.calls++
-			out, total := Full, 0.0
-			if s := int(f.now); f.perS == 0 || f.inSecond[s] < f.perS {
+			out, total, after := Full, 0.0, 0.02
+			if s := int(f.now); f.away {
+				out, after = TimedOut, 0.05
+			} else if f.perS == 0 || f.inSecond[s] < f.perS {
 				f.inSecond[s]++
 				f.totals[a.Name] += a.Amount
 				out, total = Served, f.totals[a.Name]
 			}
-			f.at(f.now+0.02, same(func() { f.handle(i, CounterReply{Name: a.Name, Outcome: out, Total: total}) }))
+			f.at(f.now+after, same(func() { f.handle(i, CounterReply{Name: a.Name, Outcome: out, Total: total}) }))
 		case Send:
 			j := f.jobs[a.Request]
 			n := j.sends
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -35,6 +35,7 @@
 	ceilingLease = 0.22 // part of a ceiling's burst that a window may lease; the rest is for local shares
 	nameKeep     = 60.0 // seconds a name lives: longer than its window
 	leaseShare   = 0.5  // a lease lives this part of its window
+	localMost    = 2.0  // units of a local share, where gateways are many
 	untoldSpan   = 5.0  // seconds over which units paid by leases and by local shares are compared
 	untoldMost   = 2.0  // times its own units, is what a call may tell for others
 	lostMost     = 64   // calls with no answer that are remembered, should one come late
@@ -776,10 +777,7 @@
 		g.warmRate += gain * (float64(g.warmSent)/span/float64(warm) - g.warmRate)
 	}
 	g.warmSent = 0
-	for i := range g.untold {
-		g.untold[i] *= math.Exp(-span / untoldSpan)
-		g.told[i] *= math.Exp(-span / untoldSpan)
-	}
+	g.fadePaid(math.Exp(-span / untoldSpan))
 	for l := range g.arrivals {
 		g.arrivals[l] += gain * (g.arrived[l]/span - g.arrivals[l])
 		g.arrived[l] = 0
@@ -821,6 +819,11 @@
 	t := terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
 		localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), ceiling: p.CeilingRate > 0, places: p.MaxConcurrent,
 		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
+	if g.wide() {
+		// A whole unit is many times a small store's share. A larger store has as many times its own, in
+		// bounds: all gateways may spend theirs at once while the counter is away.
+		t.localBurst = max(t.localBurst, min(p.Burst/g.leastBurst, localMost))
+	}
 	t.spare = t.allowance
 	if p.CeilingRate > 0 {
 		t.rate = min(p.Rate, p.CeilingRate)
@@ -959,14 +962,6 @@
 	}
 }
 
-// block is the size of the next lease: what the demand of a second needs, at first all of the share.
-func (c *customer) block() float64 {
-	if !c.met {
-		return c.terms.first
-	}
-	return min(c.demand, c.terms.first)
-}
-
 // crowded leaves a call out, the more often the more of late have failed.
 func (g *Gateway) crowded(c *customer) bool {
 	if g.rng.Float64() >= min(crowdFactor*g.crowd, crowdMost) {
@@ -985,7 +980,11 @@
 	for _, j := range c.waiting {
 		need += j.Units
 	}
-	need = math.Ceil(need) + math.Floor(c.block()) // a unit that nobody comes for is missing to the others
+	block := c.terms.first // what the demand of a second needs, at first all of the share
+	if c.met {
+		block = min(c.demand, block)
+	}
+	need = math.Ceil(need) + math.Floor(block) // a unit that nobody comes for is missing to the others
 	floor := g.roll(c)
 	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed}
 	k.units = max(min(need, c.terms.allowance), 1)
@@ -998,8 +997,7 @@
 	if g.wide() {
 		// Danger: of a customer that comes through many gateways each sees one request in a while, so what a
 		// local share paid is hardly ever told with a later call, and the counter would see half of the use.
-		// Each call speaks for the units of others of its plan that went untold: local shares bear more of a plan
-		// whose customers come seldom.
+		// Each call speaks for the units of others of its plan that went untold.
 		p := c.waiting[0].Plan
 		k.fill += need * min(g.untold[p]/max(g.told[p], 1), untoldMost)
 	}
@@ -1016,7 +1014,7 @@
 		return
 	}
 	c := k.customer
-	gain := min(max((g.now-g.crowdAt)/crowdSpan, crowdGain), 0.3)
+	gain := min(max((g.now-g.crowdAt)/crowdSpan, crowdGain), 1)
 	g.crowdAt = g.now
 	g.crowd -= gain * g.crowd
 	if (e.Outcome == TimedOut || e.Outcome == Broken) && !k.slot && k.window == c.window {
--- a/rules/state.go
+++ b/rules/state.go
@@ -18,19 +18,20 @@
 	out  []Action
 	said []Checked // of the present event; out points into it
 
-	jobs      map[RequestID]*job
-	spare     *job     // a check that is over
-	queues    [][]*job // by level, each in order of arrival
-	worths    []float64
-	servers   map[BackendID]*server
-	detached  map[BackendID]bool // by hand
-	list      []*server          // by id
-	customers map[CustomerID]*customer
-	roster    []*customer       // by first sight
-	calls     map[uint64][]call // out, by name, in order
-	lastCall  uint64
-	lost      []call // that ended with no answer lately, oldest first
-	born      float64
+	jobs       map[RequestID]*job
+	spare      *job     // a check that is over
+	queues     [][]*job // by level, each in order of arrival
+	worths     []float64
+	leastBurst float64 // of the plans' stores
+	servers    map[BackendID]*server
+	detached   map[BackendID]bool // by hand
+	list       []*server          // by id
+	customers  map[CustomerID]*customer
+	roster     []*customer       // by first sight
+	calls      map[uint64][]call // out, by name, in order
+	lastCall   uint64
+	lost       []call // that ended with no answer lately, oldest first
+	born       float64
 
 	bound, lastCut    float64 // most attempts in flight, and when that was last cut
 	inFlight          int
@@ -240,6 +241,12 @@
 	g.queues = make([][]*job, len(g.worths))
 	g.arrivals = make([]float64, len(g.worths))
 	g.arrived = make([]float64, len(g.worths))
+	g.leastBurst = math.Inf(1)
+	for _, p := range g.set.Plans {
+		if p.Rate > 0 {
+			g.leastBurst = min(g.leastBurst, p.Burst)
+		}
+	}
 	g.untold = make([]float64, len(g.set.Plans))
 	g.told = make([]float64, len(g.set.Plans))
 	g.patience = make([]patience, len(g.set.Classes)*len(g.set.Plans))
@@ -319,6 +326,14 @@
 	}
 }
 
+// fadePaid ages what is kept of the units paid lately.
+func (g *Gateway) fadePaid(left float64) {
+	for i := range g.untold {
+		g.untold[i] *= left
+		g.told[i] *= left
+	}
+}
+
 // pace keeps the mean of a backend's answers.
 func (s *server) pace(took float64) {
 	if s.latency == 0 {
