--- a/internal/standin/backend/processor.go
+++ b/internal/standin/backend/processor.go
@@ -28,6 +28,7 @@
 	timer *time.Timer
 	done  func() // called once, when the work is done; not after a cancel
 	over  bool
+	ran   bool // its work is done
 }
 
 func newProcessor(cores, bound int, rate float64) *processor {
@@ -85,6 +86,7 @@
 		p.mu.Unlock()
 		return
 	}
+	j.ran = true
 	p.endLocked(j)
 	p.mu.Unlock()
 	j.done()
@@ -100,12 +102,13 @@
 	}
 }
 
-// cancel gives a job up. It tells whether that came before its end.
+// cancel gives a job up. It tells whether that came before its work was done. Danger: a job that clear gave up is over
+// as well, and has not run; were it taken for one that has, a killed backend would be on record with an effect.
 func (p *processor) cancel(j *job) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if j.over {
-		return false
+		return !j.ran
 	}
 	j.over = true
 	for i, w := range p.waiting {
