Count what a gateway does by tenths of a second, and add it up over all gateways

Cause: what a large fleet does to itself shows in the sum over all gateways, and every trace so far was made by hand with a changed program.

Change: moments/ (pure): counts of a span, handed on when it is over, and their sum over gateways: in step, uneven, how late nine in ten are reached. The owner counts where the operator's file names a folder ([moments], off by default), a goroutine writes, bounded in size, and nothing waits for it.

With the section left out there is one comparison with nil an action.

--- a/cmd/elderctl/lab.go
+++ b/cmd/elderctl/lab.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -25,6 +27,7 @@
 	site     lab.Site
 	json     string
 	trace    string
+	moments  string
 }
 
 func labCommand() *cobra.Command {
@@ -50,7 +53,8 @@
 	fl.StringVar(&f.site.Gateway, "gateway", "", "the gateway's program; else the one beside this tool, else built from the checkout")
 	fl.StringVar(&f.json, "json", "", "write the verdict to this file as JSON; - for standard output")
 	fl.StringVar(&f.trace, "trace", "", "have a collector take all stories, and write them to this file at the end; see 'elderctl trace'")
-	cmd.AddCommand(labListCommand(), labFaultsCommand(), labBenchCommand())
+	fl.StringVar(&f.moments, "moments", "", "have the gateways count what they do by tenths of a second, in files in this folder; see 'elderctl lab read'")
+	cmd.AddCommand(labListCommand(), labFaultsCommand(), labBenchCommand(), labReadCommand())
 	return cmd
 }
 
@@ -96,6 +100,14 @@
 		return usage(err)
 	}
 	site := f.merge(cmd, scenario.Site())
+	if f.moments != "" {
+		if site.Moments, err = filepath.Abs(f.moments); err != nil {
+			return usage(err)
+		}
+		if err := os.MkdirAll(site.Moments, 0o755); err != nil {
+			return usage(err)
+		}
+	}
 	if err := site.Check(); err != nil {
 		return usage(err)
 	}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -13,6 +13,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"linnetbend/internal/sockets"
@@ -126,6 +127,7 @@
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
 	trust          sockets.Trust
+	dials          atomic.Int64 // since they were last counted
 
 	mu      sync.Mutex
 	targets map[rules.BackendID]*target
@@ -321,6 +323,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	defer context.AfterFunc(t.ctx, cancel)()
+	p.dials.Add(1)
 	d := net.Dialer{KeepAlive: -1} // it would not notice a silent machine in time
 	conn, err := d.DialContext(ctx, "tcp", t.address)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,8 +99,22 @@
 	gotList := sync.OnceFunc(func() { front.ready.Store(true); close(listed) })
 	front.loop = newLoop(c, pools, shared, gotList)
 
+	counts, err := openMoments(c.Site.Moments, c.Name, pools)
+	if err != nil {
+		return err
+	}
 	inner, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	if counts != nil {
+		front.loop.Moments = counts.tally(time.Duration(c.Site.Moments.Every))
+		written := make(chan struct{})
+		go func() { defer close(written); counts.run() }()
+		defer func() { // after the loop, which counts
+			front.loop.Moments.Flush()
+			close(counts.spans)
+			<-written
+		}()
+	}
 	if export != nil {
 		set := *export
 		deployed(&set.Stories, c.Classes, c.ClassNames, c.PlanNames)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -158,6 +158,9 @@
 	}
 	x.ask.ID, x.open = l.NewID(), true
 	l.live[x.ask.ID] = x
+	if m := l.Moment(); m != nil {
+		m.Requests++
+	}
 	l.tell(x, stories.Event{Kind: stories.Began})
 	l.Handle(x.ask)
 }
@@ -200,6 +203,9 @@
 	}
 	l.Handle(ev)
 	if kind != rules.CachedList {
+		if m := l.Moment(); m != nil {
+			m.Changes += len(ev.Entries)
+		}
 		l.onListed()
 	}
 }
--- /dev/null
+++ b/internal/gateway/moments_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"linnetbend/internal/site"
+	"linnetbend/moments"
+)
+
+func TestMomentsGoToAFileThatIsBounded(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "n3.moments")
+	p := newPools(time.Second, time.Second, 10)
+	write := func(spans int) int64 {
+		m, err := openMoments(site.Moments{Dir: dir, MB: 1}, "n3", p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tally := m.tally(100 * time.Millisecond)
+		done := make(chan struct{})
+		go func() { defer close(done); m.run() }()
+		for i := range spans {
+			p.dials.Add(2)
+			m.spans <- moments.Line{At: 1000 + float64(i), Gateway: "n3", Counts: moments.Counts{Sends: 1}}
+		}
+		tally.Now(9000).Calls++
+		tally.Flush()
+		close(m.spans)
+		<-done
+		stat, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stat.Size()
+	}
+	write(1)
+	text, err := os.ReadFile(path)
+	if err != nil || string(text) != `{"at":1000,"gateway":"n3","sends":1}`+"\n"+`{"at":9000,"gateway":"n3","connects":2,"calls":1}`+"\n" {
+		t.Fatalf("%v %s", err, text)
+	}
+	// A second process goes on where the first ended, and neither goes past the bound.
+	if n := write(60_000); n > 1<<20 || n < 1<<20-200 {
+		t.Fatalf("%d bytes", n)
+	}
+	text, err = os.ReadFile(path)
+	if err != nil || !strings.HasPrefix(string(text), `{"at":1000,"gateway":"n3","sends":1}`) || !strings.HasSuffix(string(text), "}\n") {
+		t.Fatalf("%v, the end is %q", err, text[len(text)-50:])
+	}
+	if n := write(10); n > 1<<20 {
+		t.Fatalf("%d bytes after a third", n)
+	}
+	if m, err := openMoments(site.Moments{}, "n3", p); m != nil || err != nil {
+		t.Fatalf("nobody asked for it: %v %v", m, err)
+	}
+	if _, err := openMoments(site.Moments{Dir: filepath.Join(dir, "none"), MB: 1}, "n3", p); err == nil || !strings.Contains(err.Error(), "moments") {
+		t.Fatalf("%v", err)
+	}
+}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -35,6 +35,7 @@
 	Takes    float64 // share of what accounts ask for that comes as limit commands, over RESP
 	Store    string  // the shared counter: "http", the platform's, or "resp"
 	Export   bool    // a collector takes the gateways' stories, all of them, and metrics
+	Moments  string  // folder for the gateways' counts of short spans; "": none
 	Honour   float64 // share of clients that wait as Retry-After says; below 0: none
 	Ceiling  float64 // hard ceiling on every plan, in times its quota; 0: none
 
@@ -329,6 +330,9 @@
 	if s.Store == storeRESP {
 		file["counter"] = object{"kind": "resp"}
 	}
+	if s.Moments != "" {
+		file["moments"] = object{"dir": s.Moments}
+	}
 	if fronts > 0 {
 		file["quotas"] = object{"fronts": fronts}
 	}
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -29,6 +29,10 @@
 
 func (o *Owner) count(c rules.Count) {
 	k := &call{o: o, id: c.Call, sent: o.Clock.Now()}
+	if m := o.Moment(); m != nil {
+		m.Calls++
+		m.Units += c.Amount
+	}
 	k.Name, k.Amount = c.Name, c.Amount
 	k.Keep = min(max(time.Duration(c.Keep*float64(time.Second)), leastKeep), mostKeep)
 	k.Report = func(_ *counter.Call, out rules.Outcome, total float64) { o.Post(callDone{k, out, total}) }
@@ -53,6 +57,14 @@
 	}
 	k.ended, k.outcome, k.total = true, out, total
 	o.ended[out]++
+	if m := o.Moment(); m != nil {
+		switch out {
+		case rules.Full, rules.ConnectFailed:
+			m.Full++
+		case rules.TimedOut, rules.Broken:
+			m.Silent++
+		}
+	}
 	for line := o.calls[k.Name]; len(line) > 0 && line[0].ended; line = o.calls[k.Name] {
 		k := line[0]
 		if o.calls[k.Name] = line[1:]; len(line) == 1 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"linnetbend/internal/counter"
+	"linnetbend/moments"
 	"linnetbend/rules"
 )
 
@@ -41,7 +42,8 @@
 
 // Owner is the one owner of a decision module.
 type Owner struct {
-	Clock Clock
+	Clock   Clock
+	Moments *moments.Tally // nil: nothing is counted; set before Run
 
 	gateway  *rules.Gateway
 	counter  Counter // nil: there is none
@@ -148,6 +150,14 @@
 	}
 }
 
+// Moment is the present span's counts; nil: nothing is counted. Only messages and actions may call it.
+func (o *Owner) Moment() *moments.Counts {
+	if o.Moments == nil {
+		return nil
+	}
+	return o.Moments.Now(o.Now())
+}
+
 // After has d told when the clock is at that time. Only messages and actions may
 // call it.
 func (o *Owner) After(at float64, d Due) { o.timers.add(timerEntry{at: at, due: d}) }
@@ -197,12 +207,28 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case rules.Send:
+			if m := o.Moment(); m != nil {
+				m.Sends++
+			}
 			o.requests.Send(a)
 		case rules.Cancel:
 			o.requests.Cancel(a)
 		case rules.Refuse:
+			if m := o.Moment(); m != nil {
+				switch a.Why {
+				case rules.NoQuota:
+					m.NoQuota++
+				case rules.NoPlace:
+					m.NoPlace++
+				default:
+					m.NoAnswer++
+				}
+			}
 			o.requests.Refuse(a)
 		case rules.Fail:
+			if m := o.Moment(); m != nil {
+				m.Failed++
+			}
 			o.requests.Fail(a)
 		case *rules.Checked:
 			o.checked(*a)
--- /dev/null
+++ b/moments/moments_test.go
@@ -0,0 +1,87 @@
+package moments
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestASpanIsHandedOnOnceItIsOver(t *testing.T) {
+	var got []Line
+	tally := NewTally(100*time.Millisecond, func(at float64, c Counts) { got = append(got, Line{At: at, Counts: c}) })
+	tally.Now(1000.02).Sends++
+	tally.Now(1000.09).Sends++
+	tally.Now(999.5).Calls++ // the clock steps back
+	tally.Now(1000.75)       // nothing happens
+	tally.Now(1000.81).Units += 2.5
+	tally.Flush()
+	tally.Flush()
+	for i := range got {
+		got[i].At = float64(int(got[i].At*10+0.5)) / 10
+	}
+	want := []Line{{At: 1000, Counts: Counts{Sends: 2, Calls: 1}}, {At: 1000.8, Counts: Counts{Units: 2.5}}}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestWhatComesInStepIsTold(t *testing.T) {
+	var lines []Line
+	for g := range 10 {
+		name := string(rune('a' + g))
+		for i := range 20 {
+			lines = append(lines, Line{At: 100 + float64(i)/2, Gateway: name, Counts: Counts{Sends: 1}})
+		}
+		lines = append(lines, Line{At: 104, Gateway: name, Counts: Counts{Connects: 3}}, // all at once
+			Line{At: 101 + float64(g)/2, Gateway: name, Counts: Counts{Changes: 1}})
+	}
+	lines = append(lines, Line{At: 100, Gateway: "a", Counts: Counts{Calls: 10}}) // one alone
+	s, err := Sum(lines, 0.5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	by := map[string]Total{}
+	for _, k := range s.Totals {
+		by[k.Kind] = k
+	}
+	if s.Gateways != 10 || s.Seconds != 10 || len(s.Spans) != 20 || by["sends"].Sum != 200 || by["sends"].InStep != 0 || by["sends"].Uneven != 1 {
+		t.Errorf("%+v", s)
+	}
+	if c := by["connects"]; c.Peak != 30 || c.PeakAt != 4 || c.InStep < 20 {
+		t.Errorf("connects all at once: %+v", c)
+	}
+	if c := by["calls"]; c.Uneven != 10 {
+		t.Errorf("calls of one: %+v", c)
+	}
+	if c := by["changes"]; c.Reached != 4 {
+		t.Errorf("nine of ten hear of a change 4 s after the first: %+v", c)
+	}
+	if c := by["failed"]; c != (Total{Kind: "failed"}) {
+		t.Errorf("none: %+v", c)
+	}
+	if s, err := Sum(nil, 1); err != nil || s.Gateways != 0 {
+		t.Errorf("%v %+v", err, s)
+	}
+	if _, err := Sum([]Line{{At: 0}, {At: 1.8e9}}, 0.1); err == nil {
+		t.Error("a line without a time is taken")
+	}
+}
+
+// Whatever the spans and the order of the lines, nothing is lost.
+func TestSumsAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var lines []Line
+		sends, units := 0, 0.0
+		for range rapid.IntRange(1, 60).Draw(t, "lines") {
+			c := Counts{Sends: rapid.IntRange(0, 5).Draw(t, "sends"), Units: float64(rapid.IntRange(-3, 9).Draw(t, "units"))}
+			sends, units = sends+c.Sends, units+c.Units
+			lines = append(lines, Line{At: rapid.Float64Range(1e9, 1e9+50).Draw(t, "at"), Gateway: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "gateway"), Counts: c})
+		}
+		s, err := Sum(lines, rapid.SampledFrom([]float64{0.1, 0.5, 3, 100}).Draw(t, "every"))
+		if err != nil || s.Totals[1].Sum != float64(sends) || s.Totals[4].Sum != units {
+			t.Fatalf("%v sends, %v units: %+v", sends, units, s.Totals)
+		}
+	})
+}
