Keep a plan whose store holds nothing from spoiling the books of others

Cause: read again, the local share of a large fleet divides by the smallest store. Settings with a rate and no depth are not refused, and make it 0 by 0: NaN in the customer's share, which lets in or refuses for good (terms, makeRoom).

Change: the smallest store is that of the plans that have one.

Measured: the new test fails without the change (NaN for the plan itself); nothing changes for settings with depths.

--- a/internal/replica/store_test.go
+++ b/internal/replica/store_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// three starts three voters that have found each other.
-func three(t testing.TB) (*network, []*voter) {
+// apart starts three voters, of which the first is the site's only one and leads.
+func apart(t testing.TB) (*network, []*voter) {
 	t.Helper()
 	n := newNetwork()
 	var list []*voter
@@ -92,6 +92,13 @@
 		list = append(list, v)
 	}
 	until(t, "the first leads", func() bool { return list[0].store.Confirm() == nil })
+	return n, list
+}
+
+// three starts three voters that have found each other.
+func three(t testing.TB) (*network, []*voter) {
+	t.Helper()
+	n, list := apart(t)
 	for _, v := range list[1:] {
 		add(t, list[0], v)
 	}
@@ -189,15 +196,7 @@
 // A voter is added while another hears nothing, and the leader dies: who was added is all that can lead, and the
 // other must vote for it though it has never heard of it.
 func TestALeaderDiesBeforeAllHaveNotedAnAdd(t *testing.T) {
-	n := newNetwork()
-	var list []*voter
-	for i := range 3 {
-		v := newVoter(t, n, fmt.Sprint("v", i))
-		v.bootstrap = i == 0
-		must(t, v.start(t))
-		list = append(list, v)
-	}
-	until(t, "the first leads", func() bool { return list[0].store.Confirm() == nil })
+	n, list := apart(t)
 	add(t, list[0], list[1])
 	propose(t, list[0].store, command("1", 0, "a"))
 	propose(t, list[0].store, turn(1))
--- a/rules/fleet_counter_test.go
+++ b/rules/fleet_counter_test.go
@@ -107,3 +107,19 @@
 		}
 	}
 }
+
+// A plan whose store holds nothing is an operator's mistake, and must not spoil the books of others.
+func TestAPlanWithNoStoreSpoilsNoBooks(t *testing.T) {
+	for _, plans := range [][]Plan{{{Price: 1, Rate: 1}}, {{Price: 1, Rate: 1}, {Price: 1, Rate: 1, Burst: 4}}} {
+		set := testSettings()
+		set.Fleet, set.Plans = 300, plans
+		d := start(t, set, some(2)...)
+		for plan := range plans {
+			d.nextID++
+			d.handle(Request{ID: d.nextID, Plan: plan, Customer: CustomerID(plan), Units: 1, Gateways: 200, Deadline: d.now + 2})
+			if c := d.g.customers[CustomerID(plan)]; c.local != c.local || c.terms.localBurst != c.terms.localBurst {
+				t.Errorf("plan %d of %d: a share of %v, %v left", plan, len(plans), c.terms.localBurst, c.local)
+			}
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -243,7 +243,7 @@
 	g.arrived = make([]float64, len(g.worths))
 	g.leastBurst = math.Inf(1)
 	for _, p := range g.set.Plans {
-		if p.Rate > 0 {
+		if p.Rate > 0 && p.Burst > 0 {
 			g.leastBurst = min(g.leastBurst, p.Burst)
 		}
 	}
