--- a/cmd/elderctl/main_test.go
+++ b/cmd/elderctl/main_test.go
@@ -74,7 +74,7 @@
 	}{
 		{[]string{"lab", "--scenario", bad}, bad + `:4: fault[0].kind: there is no fault "node-kil"; did you mean "node-kill"?`},
 		{[]string{"lab", "--scenario", "quite"}, `did you mean "quiet"?`},
-		{[]string{"lab", "--gateways", "99"}, "gateways: 99 is not between 1 and 32"},
+		{[]string{"lab", "--gateways", "101"}, "gateways: 101 is not between 1 and 100"},
 		{[]string{"lab", "--for", "soon"}, "soon"},
 		{[]string{"lab", "--rat", "5"}, "unknown flag"},
 		{[]string{"lab", "nonsense"}, "nonsense"},
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -70,11 +70,11 @@
 	nodeCores         = 2
 	benchCores        = 1000
 	nodesInCell       = 4
-	mostGateways      = 32
+	mostGateways      = 100
 	mostNodes         = 200
 	mostRate          = 5000
 	mostFor           = 30 * time.Minute
-	mostProduct       = 1000 // gateways times nodes: each pair has a listener
+	mostProduct       = 2000 // gateways times nodes: each pair has a listener
 	storeHTTP         = "http"
 	storeRESP         = "resp"
 	exportEvery       = 250 * time.Millisecond // metrics
