--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -8,86 +8,20 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"log"
-	"math"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"strconv"
-	"syscall"
+	"errors"
 
 	"linnetbend/internal/config"
 	"linnetbend/internal/gateway"
-	"linnetbend/internal/site"
-	"linnetbend/internal/telemetry"
+	"linnetbend/internal/launch"
 )
 
-const defaultSite = "deploy/site.toml"
-
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read whole
-	signal.Notify(hup, syscall.SIGHUP)
-	if err := run(ctx, hup); err != nil {
-		fmt.Fprintln(os.Stderr, "elderyard:", err)
-		os.Exit(1)
-	}
-}
-
-func run(ctx context.Context, hup <-chan os.Signal) error {
-	path := os.Getenv("EDGE_CONFIG")
-	if path == "" {
-		return fmt.Errorf("EDGE_CONFIG is not set")
-	}
-	c, err := config.Read(path)
-	if err != nil {
-		return err
-	}
-	if c.Site, err = operatorsFile(); err != nil {
-		return err
-	}
-	export, err := telemetry.FromSite(c.Site.Telemetry, os.Getenv, c.Name)
-	if err != nil {
-		return fmt.Errorf("telemetry: %w", err)
-	}
-	if operator := os.Getenv("EDGE_OPERATOR"); operator != "" {
-		c.Operator = operator
-	}
-	if c.Operator != "" {
-		c.StateDir = os.Getenv("TMPDIR")
-	}
-	fd := -1
-	if text := os.Getenv("EDGE_LISTEN_FD"); text != "" {
-		if fd, err = strconv.Atoi(text); err != nil || fd < 3 {
-			return fmt.Errorf("EDGE_LISTEN_FD: %q is not a descriptor that came with the process", text)
+	// The library that finds the others would cost every gateway 3 MB of resident
+	// memory, asked for or not: it is in a program of its own.
+	launch.Main(func(c *config.Config) (gateway.Fellows, error) {
+		if c.Site.Peers.Listen != "" {
+			return nil, errors.New("peers.listen: this program knows no other gateways; elderyard-peers does")
 		}
-		c.Share()
-	}
-	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
-	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * c.Site.Memory.HeapShare))
-	debug.SetGCPercent(c.Site.Memory.HeapGrow)
-	log.SetPrefix(c.Name + " ")
-	return gateway.Run(ctx, &c, fd, export, gateway.Reload{Signal: hup, Read: func() (config.Config, error) {
-		next, err := config.Read(path)
-		if fd >= 0 {
-			next.Share()
-		}
-		return next, err
-	}})
-}
-
-// operatorsFile reads the operator's file. One that is named must be there.
-func operatorsFile() (site.Settings, error) {
-	path := os.Getenv("ELDERYARD_SITE")
-	if path == "" {
-		return site.Read(defaultSite)
-	}
-	if _, err := os.Stat(path); err != nil {
-		return site.Settings{}, fmt.Errorf("operator's file: %w", err)
-	}
-	return site.Read(path)
+		return nil, nil
+	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,10 +35,25 @@
 	Read   func() (config.Config, error) // the new configuration
 }
 
+// Fellows are the other gateways of the site, as far as this one knows of them.
+type Fellows interface {
+	// Run takes part until ctx ends. Told is called with each new number that what
+	// all have together is divided by, and that of the senders to a cold backend.
+	Run(ctx context.Context, told func(share, cold int))
+	Desk() http.Handler // answers operators, below fellowsPath
+	Believes() string   // one line for them
+}
+
+const (
+	fellowsPath = "/_peers"
+	fellowCost  = 24 // descriptors
+)
+
 // Run serves clients until ctx ends, then answers what it holds and returns. Fd is
 // the clients' listening socket where that came with the process, else below 0. Export
-// says where stories and metrics go; nil: nowhere.
-func Run(ctx context.Context, c *config.Config, fd int, export *telemetry.Settings, reload Reload) error {
+// says where stories and metrics go; nil: nowhere. Fellows is nil where the gateway
+// knows of none.
+func Run(ctx context.Context, c *config.Config, fd int, export *telemetry.Settings, fellows Fellows, reload Reload) error {
 	var listener net.Listener
 	var err error
 	if fd < 0 {
@@ -50,14 +65,14 @@
 		return fmt.Errorf("clients: %w", err)
 	}
 	if c.Operator == "" {
-		return serve(ctx, c, listener, nil, export, reload)
+		return serve(ctx, c, listener, nil, export, fellows, reload)
 	}
 	desk, err := net.Listen("tcp", c.Operator)
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("operator: %w", err)
 	}
-	return serve(ctx, c, listener, desk, export, reload)
+	return serve(ctx, c, listener, desk, export, fellows, reload)
 }
 
 // inherited makes a listener of a descriptor that came with the process.
@@ -75,16 +90,21 @@
 }
 
 // mostClients is how many connections of clients the limits bear.
-func mostClients(c *config.Config) int {
-	bySockets := c.Site.Clients.SocketShare * float64(c.Sockets-reserved)
+// Own is how many the gateway keeps for itself.
+func mostClients(c *config.Config, own int) int {
+	bySockets := c.Site.Clients.SocketShare * float64(c.Sockets-own)
 	byMemory := c.Site.Clients.MemoryShare * float64(c.MemoryMB<<20) / clientCost
 	return int(min(bySockets, byMemory))
 }
 
 // serve is Run on sockets that are open. Desk is the operators', or nil.
-func serve(ctx context.Context, c *config.Config, listener, desk net.Listener, export *telemetry.Settings, reload Reload) error {
-	most := mostClients(c)
-	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
+func serve(ctx context.Context, c *config.Config, listener, desk net.Listener, export *telemetry.Settings, fellows Fellows, reload Reload) error {
+	own := reserved
+	if fellows != nil {
+		own += fellowCost
+	}
+	most := mostClients(c, own)
+	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-own-most)
 	c.Settings.Fronts = c.Site.Quotas.Fronts
 	calls, err := counter.Open(c.Site.Counter, c.Settings, c.Counter)
 	if err != nil {
@@ -145,6 +165,9 @@
 	front.loop.list(c.Known, rules.CachedList)
 	wg.Go(func() { front.loop.Run(inner) })
 	wg.Go(func() { pools.sweep(inner) })
+	if fellows != nil {
+		wg.Go(func() { fellows.Run(inner, front.loop.divide) })
+	}
 	if calls != nil {
 		wg.Go(func() { calls.Run(inner) })
 	}
@@ -168,7 +191,7 @@
 	callers := newClients(listener, most)
 	server := front.server(callers, longest(c))
 	if desk != nil {
-		staff := &operator{front: front, book: book}
+		staff := &operator{front: front, book: book, fellows: fellows}
 		wg.Go(func() { staff.serve(inner, desk) })
 		wg.Go(func() { staff.follow(inner) })
 		wg.Go(func() { front.empty(inner, callers) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,7 +74,7 @@
 	r.config.Store(&text)
 	reload := Reload{r.hup, func() (config.Config, error) { return config.Parse([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, export, reload) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, l, desk, export, nil, reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
@@ -565,7 +565,7 @@
 	for _, c := range []struct{ memory, sockets, want int }{
 		{192, 1024, 720}, {192, 256, 144}, {32, 256, 144}, {32, 1024, 341},
 	} {
-		if got := mostClients(&config.Config{Site: site.Defaults(), MemoryMB: c.memory, Sockets: c.sockets}); got != c.want {
+		if got := mostClients(&config.Config{Site: site.Defaults(), MemoryMB: c.memory, Sockets: c.sockets}, reserved); got != c.want {
 			t.Errorf("%d MB, %d sockets: %d, want %d", c.memory, c.sockets, got, c.want)
 		}
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -51,6 +51,10 @@
 		out  bool
 		done chan error // has room for one
 	}
+	divided struct { // by how many gateways
+		l *Loop
+		rules.Fleet
+	}
 	outByHand struct { // all that are, as noted
 		l   *Loop
 		ids map[string]struct{}
@@ -61,6 +65,7 @@
 func (m clientGone) Take() { m.l.leave(m.x) }
 func (m bodyWhole) Take()  { m.l.bodyWhole(m.a) }
 func (m news) Take()       { m.l.list(m.listing, m.kind) }
+func (m divided) Take()    { m.l.Handle(m.Fleet) }
 func (m handCall) Take()   { m.done <- m.l.takeByHand(m) }
 
 func (m attemptDone) Take() {
@@ -119,6 +124,11 @@
 	l.Post(news{l, told, kind})
 }
 
+// divide passes on how many gateways there are.
+func (l *Loop) divide(share, cold int) {
+	l.Post(divided{l, rules.Fleet{Share: share, Cold: cold}})
+}
+
 // leave takes a client's leaving. Danger: an answer may just have been given that
 // passes through, and nobody would end it.
 func (l *Loop) leave(x *exchange) {
--- a/internal/gateway/operator.go
+++ b/internal/gateway/operator.go
@@ -26,8 +26,9 @@
 
 // operator answers the calls of the operators' staff on an address of its own.
 type operator struct {
-	front *frontend
-	book  *handBook
+	front   *frontend
+	book    *handBook
+	fellows Fellows // nil: it knows of none
 }
 
 // handler has one entry for each call. Whatever is no call gets a no.
@@ -39,7 +40,14 @@
 			return
 		}
 		io.WriteString(w, "ready\n")
+		if o.fellows != nil {
+			fmt.Fprintln(w, o.fellows.Believes())
+		}
 	})
+	if o.fellows != nil {
+		mux.Handle(fellowsPath, o.fellows.Desk())
+		mux.Handle(fellowsPath+"/", o.fellows.Desk())
+	}
 	mux.HandleFunc("POST /_backends/detach", func(w http.ResponseWriter, r *http.Request) { o.byHand(w, r, true) })
 	mux.HandleFunc("POST /_backends/attach", func(w http.ResponseWriter, r *http.Request) { o.byHand(w, r, false) })
 	mux.HandleFunc("POST /_lameduck/on", func(w http.ResponseWriter, r *http.Request) { o.lame(w, true) })
--- a/internal/owner/checks_test.go
+++ b/internal/owner/checks_test.go
@@ -40,7 +40,7 @@
 		a.asked <- struct{}{}
 		return nil
 	}
-	return rules.Check{ID: id, Customer: 7, Units: a.units, Gateways: 1, Deadline: float64(time.Now().Unix()) + 60}
+	return &rules.Check{ID: id, Customer: 7, Units: a.units, Gateways: 1, Deadline: float64(time.Now().Unix()) + 60}
 }
 
 func (a *asker) Answered(got rules.Checked) { a.answers <- got }
--- /dev/null
+++ b/internal/peers/detector.go
@@ -0,0 +1,228 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"linnetbend/members"
+)
+
+const (
+	eventsWait = 1024
+	inboxDepth = 256 // datagrams that the library holds
+	leaveFor   = 500 * time.Millisecond
+)
+
+// detector runs the library for one life and turns what it hears into events.
+type detector struct {
+	list   *memberlist.Memberlist
+	self   string
+	life   members.Life
+	events chan members.Event
+	lost   atomic.Bool // an event found no room: the list must be read whole
+
+	mu    sync.Mutex
+	meta  meta
+	says  message
+	nodes map[string]members.Alive // whom the library counts as living, by its names
+}
+
+// detect starts the library on a transport. The detector has the transport from then on.
+func detect(s *Settings, t *transport, ring *memberlist.Keyring, life members.Life, first meta, says message) (*detector, error) {
+	d := &detector{self: s.Self, life: life, events: make(chan members.Event, eventsWait), meta: first, says: says,
+		nodes: map[string]members.Alive{}}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label = nodeName(s.Self, life), string(t.label[2:])
+	c.Transport, c.Keyring = t, ring
+	c.ProbeInterval, c.ProbeTimeout = s.Every, s.Every/2
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspicionMult, suspicionMost
+	c.GossipInterval, c.GossipToTheDeadTime = s.Every/5, toTheDead*s.Every
+	c.PushPullInterval, c.TCPTimeout = pushPullEvery*s.Every, min(streamFor, 10*s.Every)
+	c.EnableCompression, c.UDPBufferSize, c.HandoffQueueDepth = false, mostPacket, inboxDepth
+	c.Delegate, c.Events, c.Ping, c.Alive = d, d, d, d
+	c.DelegateProtocolMin, c.DelegateProtocolMax, c.DelegateProtocolVersion = leastVersion, version, version
+	c.Logger = log.New(&told{detector: d, counts: t.counts}, "", 0)
+	list, err := memberlist.Create(c)
+	if err != nil {
+		t.Shutdown()
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	d.list = list
+	return d, nil
+}
+
+// close says good-bye where that is asked for, and ends the library.
+func (d *detector) close(leave bool) {
+	if leave {
+		d.mu.Lock()
+		d.meta.Leaving = true
+		d.mu.Unlock()
+		d.list.UpdateNode(leaveFor) // the library tells nobody who left and who was given up: this does
+		d.list.Leave(leaveFor)      // whoever hears neither finds out by silence
+	}
+	d.list.Shutdown()
+}
+
+// post hands an event on without waiting: it comes from under the library's locks.
+func (d *detector) post(ev members.Event) {
+	select {
+	case d.events <- ev:
+	default:
+		d.lost.Store(true)
+	}
+}
+
+// tell changes what this member says of itself.
+func (d *detector) tell(m meta, says message) {
+	d.mu.Lock()
+	changed := d.meta != m
+	d.meta, d.says = m, says
+	d.mu.Unlock()
+	if changed {
+		d.list.UpdateNode(time.Millisecond) // it goes round by itself, whether or not this sees it
+	}
+}
+
+// join asks members at addresses for what they know. It waits for them.
+func (d *detector) join(ctx context.Context, targets []memberlist.Address) (reached int) {
+	for _, a := range targets {
+		if ctx.Err() != nil {
+			return reached
+		}
+		at := a.Addr
+		if a.Name != "" {
+			at = a.Name + "/" + at
+		}
+		if n, err := d.list.Join([]string{at}); err == nil {
+			reached += n
+		}
+	}
+	return reached
+}
+
+// living are the members that the library counts as living.
+func (d *detector) living() []members.Alive {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.nodes))
+}
+
+// send gives a member a message whole.
+func (d *detector) send(to members.Alive, m message) error {
+	at, err := net.ResolveTCPAddr("tcp", to.Address)
+	if err != nil {
+		return fmt.Errorf("%s: %w", to.Name, err)
+	}
+	return d.list.SendReliable(&memberlist.Node{Name: nodeName(to.Name, to.Life), Addr: at.IP, Port: uint16(at.Port)}, m.encode())
+}
+
+// aliveOf reads what the library knows of a member. The library holds its lock.
+func (d *detector) aliveOf(n *memberlist.Node) (alive members.Alive, leaving, ok bool) {
+	name, life, ok := splitName(n.Name)
+	if !ok {
+		return members.Alive{}, false, false
+	}
+	m, sum, err := decodeMeta(n.Meta)
+	if err != nil {
+		return members.Alive{}, false, false
+	}
+	return members.Alive{Name: name, Life: life, Address: net.JoinHostPort(n.Addr.String(), fmt.Sprint(n.Port)), Desk: m.Desk, Epoch: m.Epoch, Sum: sum}, m.Leaving, true
+}
+
+var errUnreadable = errors.New("its name or what it says of itself can't be read")
+
+// NotifyAlive keeps out what can't be read. The library calls it.
+func (d *detector) NotifyAlive(n *memberlist.Node) error {
+	if _, _, ok := d.aliveOf(n); !ok {
+		return errUnreadable
+	}
+	return nil
+}
+
+// NotifyJoin hears of a member. The library calls it.
+func (d *detector) NotifyJoin(n *memberlist.Node) {
+	ev, leaving, ok := d.aliveOf(n)
+	if !ok || ev.Name == d.self && ev.Life == d.life {
+		return
+	}
+	d.mu.Lock()
+	delete(d.nodes, n.Name)
+	if !leaving {
+		d.nodes[n.Name] = ev
+	}
+	d.mu.Unlock()
+	if leaving {
+		d.post(members.Left{Name: ev.Name, Life: ev.Life})
+		return
+	}
+	d.post(ev)
+}
+
+// NotifyUpdate hears what a member says of itself now. The library calls it.
+func (d *detector) NotifyUpdate(n *memberlist.Node) { d.NotifyJoin(n) }
+
+// NotifyLeave hears that a member has gone. The library calls it.
+func (d *detector) NotifyLeave(n *memberlist.Node) {
+	name, life, ok := splitName(n.Name)
+	if !ok || name == d.self && life == d.life {
+		return
+	}
+	d.mu.Lock()
+	delete(d.nodes, n.Name)
+	d.mu.Unlock()
+	d.post(members.Failed{Name: name, Life: life})
+}
+
+// NotifyPingComplete hears an answer. The library calls it.
+func (d *detector) NotifyPingComplete(n *memberlist.Node, _ time.Duration, _ []byte) {
+	if name, life, ok := splitName(n.Name); ok {
+		d.post(members.Heard{Name: name, Life: life})
+	}
+}
+
+// AckPayload is nothing. The library calls it.
+func (d *detector) AckPayload() []byte { return nil }
+
+// NodeMeta is what this member says of itself. The library calls it.
+func (d *detector) NodeMeta(int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.meta.encode()
+}
+
+// NotifyMsg takes a message. The library calls it.
+func (d *detector) NotifyMsg(text []byte) { d.take(text) }
+
+// GetBroadcasts are none. The library calls it.
+func (d *detector) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState is what this member tells in an exchange. The library calls it.
+func (d *detector) LocalState(bool) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.says.encode()
+}
+
+// MergeRemoteState takes what another member tells. The library calls it.
+func (d *detector) MergeRemoteState(text []byte, _ bool) { d.take(text) }
+
+func (d *detector) take(text []byte) {
+	m, err := decodeMessage(text)
+	if err != nil {
+		return // whoever has the key and yet says that is of another program's making
+	}
+	for _, l := range m.Lives {
+		d.post(l)
+	}
+	d.post(members.RosterTold{Roster: m.Roster, By: m.From})
+}
--- /dev/null
+++ b/internal/peers/disk.go
@@ -0,0 +1,53 @@
+package peers
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"linnetbend/internal/files"
+	"linnetbend/members"
+)
+
+// kept is what must outlive a start: without the life, one that starts again with
+// its clock set back could take itself for an earlier one; without the roster, it
+// could go back to who belonged long ago; without the addresses, one whose seeds
+// are all dead would find nobody.
+type kept struct {
+	Life      members.Life      `json:"life"`
+	Roster    members.Roster    `json:"roster"`
+	Addresses map[string]string `json:"addresses"` // of members, as last heard
+}
+
+func (s *Settings) load() (k kept, err error) {
+	text, err := readFile(s.path("peers.json"))
+	if errors.Is(err, os.ErrNotExist) {
+		return kept{}, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &k)
+	}
+	if err != nil {
+		return kept{}, fmt.Errorf("%s: %w; what it knew is lost if it is removed: the life goes on by the clock, the roster comes from its file or from the others", s.path("peers.json"), err)
+	}
+	return k, nil
+}
+
+func (s *Settings) store(k kept) error {
+	text, err := json.Marshal(k)
+	if err != nil {
+		return fmt.Errorf("what is kept of peers: %w", err)
+	}
+	return files.Replace(s.path("peers.json"), text, 0o600)
+}
+
+const lifeBits = 10 // of chance, below the milliseconds: two starts in one instant differ
+
+// newLife numbers a start. It is above all lives that this folder knows of; of
+// lives in other folders the clock has to tell, and the others if it is wrong.
+func newLife(last members.Life, now time.Time) members.Life {
+	return max(members.Life(now.UnixMilli())<<lifeBits|members.Life(rand.N(1<<lifeBits)), last+1)
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,449 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"linnetbend/members"
+)
+
+const (
+	mostRaises = 3  // times that a start takes another life
+	raiseFor   = 10 // intervals in which it may: until then it has held nothing
+	lookEvery  = 2  // intervals between looks at the files and the whole list
+	toldEvery  = 5  // intervals between rosters sent to one member
+)
+
+// Peers is one process's part in its site. Run owns it; the other methods may be
+// called from anywhere.
+type Peers struct {
+	set    Settings
+	clock  clock
+	counts traffic
+	ring   *memberlist.Keyring
+	shown  atomic.Pointer[shown]
+	asks   chan ask
+	ended  chan struct{}
+
+	// of Run's goroutine
+	kept       kept
+	detector   *detector // nil: the sockets are not open yet
+	machine    *members.Machine
+	file       fileSeen // the roster's
+	keys       fileSeen
+	raises     int
+	began      members.Time // of this life
+	toldRoster map[string]members.Time
+	joining    chan int // how many were reached; nil: nobody is asked
+	joinAt     members.Time
+	joinPause  time.Duration
+	joinEnd    context.CancelFunc
+	left       bool // a later life of the name is there: this one takes no part any more
+}
+
+type shown struct {
+	picture members.Picture
+	permit  members.Permit
+}
+
+type ask struct {
+	name string
+	done chan []members.Evidence // has room for one
+}
+
+// fileSeen tells whether a file has changed since the last look.
+type fileSeen struct {
+	size int64
+	at   time.Time
+	said string
+}
+
+func (f *fileSeen) changed(path string) bool {
+	info, err := os.Stat(path)
+	if err != nil {
+		return f.said == "" // to be read, and the error told, once
+	}
+	if info.Size() == f.size && info.ModTime().Equal(f.at) {
+		return false
+	}
+	f.size, f.at = info.Size(), info.ModTime()
+	return true
+}
+
+// Open reads keys, roster and what is kept, and opens the sockets. Others are asked
+// by Run.
+func Open(set Settings) (*Peers, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	p := &Peers{set: set, clock: newClock(), asks: make(chan ask), ended: make(chan struct{}), toldRoster: map[string]members.Time{}}
+	p.keys.changed(set.KeyFile)
+	keys, err := readKeys(set.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	if p.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
+		return nil, fmt.Errorf("%s: %w", set.KeyFile, err)
+	}
+	p.file.changed(set.Roster)
+	roster, err := readRoster(set.Roster)
+	if err != nil {
+		return nil, err
+	}
+	if p.kept, err = set.load(); err != nil {
+		return nil, err
+	}
+	if p.kept.Roster.Epoch > roster.Epoch && fits(p.kept.Roster) {
+		roster = p.kept.Roster // the others had it; the file lags behind
+	}
+	if !roster.Has(set.Self) {
+		set.Log("peers: the roster of epoch %d does not have %s: it holds nothing until one does", roster.Epoch, set.Self)
+	}
+	p.kept.Roster = roster
+	if p.kept.Addresses == nil {
+		p.kept.Addresses = map[string]string{}
+	}
+	if err := p.begin(newLife(p.kept.Life, time.Now())); err != nil {
+		return nil, err
+	}
+	if !set.Patient {
+		if err := p.connect(); err != nil {
+			return nil, err
+		}
+	}
+	p.publish()
+	return p, nil
+}
+
+func fits(r members.Roster) bool {
+	_, err := r.Check()
+	return err == nil
+}
+
+// begin starts a life. It is written down before anybody hears of it.
+func (p *Peers) begin(life members.Life) (err error) {
+	p.kept.Life = life
+	if err := p.set.store(p.kept); err != nil {
+		return err
+	}
+	p.began = p.clock.now()
+	p.machine, err = members.New(p.set.machine(life), p.kept.Roster, p.began)
+	return err
+}
+
+// connect opens the sockets of this life.
+func (p *Peers) connect() error {
+	t, err := listen(&p.set, &p.counts)
+	if err != nil {
+		return err
+	}
+	m, says := p.says()
+	if p.detector, err = detect(&p.set, t, p.ring, p.kept.Life, m, says); err != nil {
+		return err
+	}
+	p.joinAt, p.joinPause = p.clock.now(), rejoinFirst*p.set.Every
+	return nil
+}
+
+// says is what this process tells of itself.
+func (p *Peers) says() (meta, message) {
+	r := p.machine.Roster()
+	return meta{Version: version, Epoch: r.Epoch, Sum: fmt.Sprintf("%016x", r.Sum()), Desk: p.set.Desk},
+		message{From: p.set.Self, Roster: r, Lives: p.machine.Lives()}
+}
+
+func (p *Peers) publish() {
+	p.shown.Store(&shown{p.machine.Picture(p.clock.now()), p.machine.Permit()})
+}
+
+// Picture is what this process believes, as old as Picture.At tells.
+func (p *Peers) Picture() members.Picture { return p.shown.Load().picture }
+
+// May tells whether something may be done at this moment, and why. It is to be
+// asked right before the effect.
+func (p *Peers) May(u members.Use) (may bool, why string) {
+	return p.shown.Load().permit.May(p.clock.now(), u)
+}
+
+// Traffic is what went over the sockets.
+func (p *Peers) Traffic() Traffic { return p.counts.read() }
+
+var errStopped = errors.New("peers have stopped")
+
+// Evidence is what was learned lately of a name, or of all for "".
+func (p *Peers) Evidence(ctx context.Context, name string) ([]members.Evidence, error) {
+	a := ask{name, make(chan []members.Evidence, 1)}
+	select {
+	case p.asks <- a:
+		return <-a.done, nil
+	case <-p.ended:
+		return nil, errStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Run takes part until ctx ends, then says good-bye. Told is called in Run's
+// goroutine with each new number that quotas are divided by, and that of the
+// senders to a cold backend; it must not wait.
+func (p *Peers) Run(ctx context.Context, told func(share, cold int)) {
+	defer close(p.ended)
+	for p.detector == nil {
+		err := p.connect()
+		if err == nil {
+			break
+		}
+		// In an upgrade the process before has the address until it ends.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(p.set.Every / 4):
+		}
+	}
+	defer func() { p.part(!p.left) }()
+	tick := time.NewTicker(p.set.Every / 4)
+	defer tick.Stop()
+	share, cold, looked := 0, 0, p.clock.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-p.detector.events:
+			p.handle(ev)
+		case a := <-p.asks:
+			a.done <- p.machine.Evidence(a.name)
+		case <-p.joining:
+			p.joining = nil
+		case <-tick.C:
+			p.handle(members.Tick{})
+			if now := p.clock.now(); now-looked >= lookEvery*p.set.Every {
+				looked = now
+				p.look()
+			}
+			p.join()
+		}
+		p.keep()
+		p.publish()
+		if s, c := p.machine.Share(), p.machine.Senders(); s != share || c != cold {
+			share, cold = s, c
+			told(share, cold)
+		}
+	}
+}
+
+// part ends the library.
+func (p *Peers) part(leave bool) {
+	if p.joinEnd != nil {
+		p.joinEnd()
+	}
+	p.detector.close(leave)
+	if p.joining != nil {
+		<-p.joining
+		p.joining = nil
+	}
+}
+
+func (p *Peers) handle(ev members.Event) {
+	if p.left {
+		if _, tick := ev.(members.Tick); !tick {
+			return
+		}
+	}
+	if !p.machine.Handle(p.clock.now(), ev) {
+		return
+	}
+	if later := p.machine.Superseded(); later != 0 && !p.left {
+		p.yield(later)
+		return
+	}
+	p.detector.tell(p.says())
+	if a, is := ev.(members.Alive); is {
+		p.share(a)
+	}
+}
+
+// yield gives way to a later life of this process's name. One that has only just
+// begun is itself the later one, whatever its clock says: it takes a higher number.
+func (p *Peers) yield(later members.Life) {
+	if p.raises >= mostRaises || p.clock.now()-p.began > raiseFor*p.set.Every {
+		p.set.Log("peers: life %d of %s is there; this one, %d, takes no part any more", later, p.set.Self, p.kept.Life)
+		p.left = true
+		p.part(true)
+		return
+	}
+	p.raises++
+	p.part(true)
+	p.set.Log("peers: life %d of %s has been; this one begins again above it", later, p.set.Self)
+	p.kept.Roster = p.machine.Roster()
+	err := p.begin(later + 1<<lifeBits)
+	if err == nil {
+		err = p.connect()
+	}
+	if err != nil {
+		p.set.Log("peers: %v; this process takes no part any more", err)
+		p.left = true
+	}
+}
+
+// share gives a member this process's roster, where that has an older or another one.
+func (p *Peers) share(a members.Alive) {
+	r := p.machine.Roster()
+	if a.Epoch > r.Epoch || a.Epoch == r.Epoch && a.Sum == r.Sum() {
+		return
+	}
+	now := p.clock.now()
+	if last, told := p.toldRoster[a.Name]; told && now-last < toldEvery*p.set.Every {
+		return
+	}
+	if len(p.toldRoster) > 2*members.MostNames {
+		clear(p.toldRoster)
+	}
+	p.toldRoster[a.Name] = now
+	d, m := p.detector, message{From: p.set.Self, Roster: r}
+	go d.send(a, m) // ends within streamFor; what it misses, the next exchange of states brings
+}
+
+// look compares with the library's whole list, and reads files that have changed.
+func (p *Peers) look() {
+	if p.left {
+		return
+	}
+	p.compare()
+	if p.keys.changed(p.set.KeyFile) {
+		keys, err := readKeys(p.set.KeyFile)
+		if err == nil {
+			err = turnKeys(p.ring, keys)
+		}
+		p.keys.say(p.set.Log, err, "the old keys stay")
+		if err == nil {
+			p.set.Log("peers: %d keys from %s", len(keys), p.set.KeyFile)
+		}
+	}
+	if p.file.changed(p.set.Roster) {
+		r, err := readRoster(p.set.Roster)
+		if have := p.machine.Roster(); err == nil && r.Epoch < have.Epoch {
+			err = fmt.Errorf("%s: epoch %d is older than %d, which this one has", p.set.Roster, r.Epoch, have.Epoch)
+		} else if err == nil && r.Epoch == have.Epoch && r.Sum() != have.Sum() {
+			err = fmt.Errorf("%s: it differs from the roster of epoch %d that is in use; a change needs a higher epoch", p.set.Roster, r.Epoch)
+		}
+		p.file.say(p.set.Log, err, "the old roster stays")
+		if err == nil {
+			p.handle(members.RosterTold{Roster: r, By: p.set.Roster})
+		}
+	}
+}
+
+func (f *fileSeen) say(log func(string, ...any), err error, rest string) {
+	f.said = ""
+	if err != nil {
+		f.said = err.Error()
+		log("peers: %v; %s", err, rest)
+	}
+}
+
+// compare brings the machine to the library's list. Events may have found no room,
+// and the library tells nobody that a suspicion was denied.
+func (p *Peers) compare() {
+	lost := p.detector.lost.Swap(false)
+	there := map[string]members.Alive{}
+	for _, a := range p.detector.living() {
+		if a.Name == p.set.Self && a.Life == p.kept.Life {
+			continue
+		}
+		if b, twice := there[a.Name]; !twice || a.Life > b.Life {
+			there[a.Name] = a
+		}
+		p.share(a)
+	}
+	for _, v := range p.machine.Picture(p.clock.now()).Members {
+		a, listed := there[v.Name]
+		switch {
+		case v.Self:
+		case listed && (!v.State.There() || a.Life != v.Life || a.Epoch != v.Epoch):
+			p.handle(a)
+		case !listed && v.State.There() && lost:
+			p.handle(members.Failed{Name: v.Name, Life: v.Life})
+		}
+		if p.left {
+			return
+		}
+	}
+}
+
+// join asks whoever belongs and is not heard, and the seeds while nobody is, with
+// pauses that grow: after a long cut the library has forgotten those beyond it.
+func (p *Peers) join() {
+	now := p.clock.now()
+	if p.left || p.joining != nil || now < p.joinAt {
+		return
+	}
+	picture := p.machine.Picture(now)
+	var targets []memberlist.Address
+	for _, v := range picture.Members {
+		if at := p.kept.Addresses[v.Name]; !v.Self && v.Belongs && !v.State.There() {
+			if to := p.set.Reach[v.Name]; to != "" {
+				at = to
+			}
+			if at != "" {
+				targets = append(targets, memberlist.Address{Addr: at})
+			}
+		}
+	}
+	if picture.Likely <= 1 || len(targets) < picture.Belong-picture.Likely {
+		for _, seed := range p.set.Seeds {
+			if to, named := p.set.Reach[seed]; named {
+				seed = to
+			}
+			if seed != p.set.Advertise {
+				targets = append(targets, memberlist.Address{Addr: seed})
+			}
+		}
+	}
+	p.joinAt = now + p.joinPause + rand.N(p.joinPause/2)
+	if len(targets) == 0 {
+		p.joinPause = rejoinFirst * p.set.Every
+		return
+	}
+	p.joinPause = min(2*p.joinPause, rejoinMost*p.set.Every)
+	rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
+	targets = slices.CompactFunc(targets, func(a, b memberlist.Address) bool { return a == b })
+	targets = targets[:min(len(targets), 4)] // one of them knows of all the others
+	ctx, cancel := context.WithCancel(context.Background())
+	done, d := make(chan int, 1), p.detector
+	p.joining, p.joinEnd = done, cancel
+	go func() { done <- d.join(ctx, targets) }() // ends with its connections' time-outs, or with the detector
+}
+
+// keep writes down what must outlive a start, where it has changed.
+func (p *Peers) keep() {
+	addresses := maps.Clone(p.kept.Addresses)
+	changed := false
+	roster := p.machine.Roster()
+	for _, v := range p.shown.Load().picture.Members {
+		if !v.Self && v.Belongs && v.State.There() && v.Address != "" && addresses[v.Name] != v.Address {
+			addresses[v.Name], changed = v.Address, true
+		}
+	}
+	for name := range addresses {
+		if !roster.Has(name) {
+			delete(addresses, name)
+			changed = true
+		}
+	}
+	if roster.Epoch == p.kept.Roster.Epoch && !changed {
+		return
+	}
+	p.kept.Roster, p.kept.Addresses = roster, addresses
+	if err := p.set.store(p.kept); err != nil {
+		p.set.Log("peers: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/peers/settings.go
@@ -0,0 +1,132 @@
+// Package peers takes part in a site's membership: it drives a members.Machine with
+// what hashicorp/memberlist (SWIM with Lifeguard) hears, keeps on disk what must
+// outlive a start, and tells what it believes. One goroutine owns the machine;
+// others read what it last published.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"linnetbend/internal/site"
+	"linnetbend/internal/strict"
+	"linnetbend/members"
+)
+
+// Settings are those of one process.
+type Settings struct {
+	Self      string
+	Site      string
+	Listen    string
+	Advertise string
+	Desk      string // where this process's operators call; "": nowhere
+	Dir       string
+	KeyFile   string
+	Roster    string // the file
+	Seeds     []string
+	Reach     map[string]string // by name: at which address a member is reached from here
+	Every     time.Duration     // between probes
+	Rate      float64           // bytes a second that may be sent
+	Patient   bool              // another process may have the address for a while, as in an upgrade
+	Log       func(format string, a ...any)
+}
+
+// RosterVariable names the roster's file in the environment, where an agent keeps
+// it; it goes before the operator's file.
+const RosterVariable = "ELDERYARD_ROSTER"
+
+// FromSite reads the operator's settings. It returns nil where the process is to
+// take no part. Desk is its operators' address.
+func FromSite(p site.Peers, self, desk string, env func(string) string, log func(string, ...any)) (*Settings, error) {
+	if p.Listen == "" {
+		return nil, nil
+	}
+	s := &Settings{Self: self, Site: p.Site, Listen: p.Listen, Advertise: p.Advertise, Desk: desk, Dir: p.Dir, KeyFile: p.KeyFile,
+		Roster: p.Roster, Seeds: p.Seeds, Reach: map[string]string{}, Every: time.Duration(p.Every), Rate: float64(p.MostKB) * 1024, Log: log}
+	if file := env(RosterVariable); file != "" {
+		s.Roster = file
+	}
+	if s.Roster == "" {
+		return nil, errors.New("peers.roster: it is missing, and no agent keeps one")
+	}
+	for _, r := range p.Reach {
+		s.Reach[r.Name] = r.Address
+	}
+	if s.Advertise == "" {
+		s.Advertise = p.Listen
+	}
+	return s, nil
+}
+
+// machine are the settings of the pure half. The detector's own times are beside
+// them, so that all of them rest on Every.
+func (s *Settings) machine(life members.Life) members.Settings {
+	return members.Settings{Self: s.Self, Life: life, Tick: s.Every / 4, StallAfter: 3 * s.Every / 2, Settle: 2 * s.Every,
+		SettleMost: 60 * s.Every, Blind: suspicionMult * suspicionMost * s.Every}
+}
+
+// The detector's times, in intervals between probes.
+const (
+	suspicionMult = 4 // a suspicion lasts so many intervals, times log10 of the members, where others confirm it
+	suspicionMost = 3 // so many times as long where nobody does
+	pushPullEvery = 20
+	toTheDead     = 60 // who has gone is still told so, and may deny it
+	rejoinFirst   = 2
+	rejoinMost    = 20
+)
+
+const mostFile = 1 << 20 // bytes of a file that is read
+
+// readRoster reads a roster's file. An error names file, line and key.
+func readRoster(path string) (members.Roster, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return members.Roster{}, fmt.Errorf("roster: %w", err)
+	}
+	return ParseRoster(path, text)
+}
+
+// ParseRoster reads a roster's text. File names it in errors.
+func ParseRoster(file string, text []byte) (r members.Roster, err error) {
+	if err := strict.Decode(file, text, &r); err != nil {
+		return members.Roster{}, err
+	}
+	if key, err := r.Check(); err != nil {
+		return members.Roster{}, strict.At(file, text, key, "%v", err)
+	}
+	return r, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostFile {
+		return nil, fmt.Errorf("%s: %d bytes, and %d may be", path, info.Size(), mostFile)
+	}
+	return os.ReadFile(path)
+}
+
+// check finds what is wrong before any socket is opened.
+func (s *Settings) check() error {
+	if err := members.CheckName(s.Self); err != nil {
+		return fmt.Errorf("own name: %w", err)
+	}
+	for what, address := range map[string]string{"peers.listen": s.Listen, "peers.advertise": s.Advertise} {
+		host, port, err := net.SplitHostPort(address)
+		if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
+			return fmt.Errorf("%s: %q is not an IP address with a port", what, address)
+		}
+	}
+	if info, err := os.Stat(s.Dir); err != nil || !info.IsDir() {
+		return fmt.Errorf("peers.dir: %q is not a folder", s.Dir)
+	}
+	return nil
+}
+
+func (s *Settings) path(what string) string { return filepath.Join(s.Dir, s.Self+"."+what) }
--- /dev/null
+++ b/internal/peers/transport.go
@@ -0,0 +1,350 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
+)
+
+const (
+	mostPacket    = 1400 // bytes that the library puts in a datagram
+	packetRoom    = 512  // and what sealing and label may add
+	packetsWait   = 256
+	mostStreams   = 8       // connections that others have made and that are open
+	mostStream    = 1 << 20 // bytes of one connection, each way
+	streamFor     = 10 * time.Second
+	labelMark     = 244 // begins what carries a label
+	leastSealed   = 1 + 12 + 16
+	acceptPause   = 20 * time.Millisecond
+	burstSeconds  = 2.0 // of the rate that may go out at once
+	readBufferMin = 256 << 10
+)
+
+var errEnded = errors.New("peers have ended")
+
+// Traffic counts what went over the sockets, and what was dropped and why.
+type Traffic struct {
+	PacketsIn  uint64 `json:"packets_in"`
+	PacketsOut uint64 `json:"packets_out"`
+	BytesIn    uint64 `json:"bytes_in"`  // of datagrams and connections
+	BytesOut   uint64 `json:"bytes_out"` // of datagrams and connections
+	StreamsIn  uint64 `json:"streams_in"`
+	StreamsOut uint64 `json:"streams_out"`
+	Foreign    uint64 `json:"foreign"`   // datagrams of another site, or of none
+	Oversized  uint64 `json:"oversized"` // datagrams longer than any of ours
+	Unsealed   uint64 `json:"unsealed"`  // datagrams and connections of another key, or spoilt
+	Crowded    uint64 `json:"crowded"`   // datagrams and connections that there was no room for
+	Over       uint64 `json:"over"`      // datagrams not sent, over the bytes a second
+}
+
+type traffic struct {
+	packetsIn, packetsOut, bytesIn, bytesOut, streamsIn, streamsOut atomic.Uint64
+	foreign, oversized, unsealed, crowded, over                     atomic.Uint64
+}
+
+func (t *traffic) read() Traffic {
+	return Traffic{t.packetsIn.Load(), t.packetsOut.Load(), t.bytesIn.Load(), t.bytesOut.Load(), t.streamsIn.Load(), t.streamsOut.Load(),
+		t.foreign.Load(), t.oversized.Load(), t.unsealed.Load(), t.crowded.Load(), t.over.Load()}
+}
+
+// transport carries the library's datagrams and connections on one address, in
+// bounds: descriptors, bytes waiting, bytes a second. It knows by name at which
+// address a member is reached from here.
+type transport struct {
+	label   []byte
+	reach   map[string]string
+	advert  *net.UDPAddr
+	udp     *net.UDPConn
+	tcp     *net.TCPListener
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	counts  *traffic
+	budget  *rate.Limiter
+
+	wg     sync.WaitGroup
+	closed chan struct{}
+	once   sync.Once
+	mu     sync.Mutex
+	open   map[*stream]struct{}
+}
+
+func listen(s *Settings, counts *traffic) (*transport, error) {
+	advert, err := net.ResolveUDPAddr("udp", s.Advertise)
+	if err != nil {
+		return nil, fmt.Errorf("peers.advertise: %w", err)
+	}
+	at, err := net.ResolveUDPAddr("udp", s.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	udp, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: at.IP, Port: at.Port, Zone: at.Zone})
+	if err != nil {
+		udp.Close()
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	udp.SetReadBuffer(readBufferMin) // less will do: what is lost is sent again
+	t := &transport{label: labelOf(s.Site), reach: s.Reach, advert: advert, udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet, packetsWait),
+		streams: make(chan net.Conn), counts: counts, budget: rate.NewLimiter(rate.Limit(s.Rate), burst(s.Rate)), closed: make(chan struct{}), open: map[*stream]struct{}{}}
+	t.wg.Go(t.readPackets)
+	t.wg.Go(t.accept)
+	return t, nil
+}
+
+// burst is what may go out at once, at the least one datagram.
+func burst(perSecond float64) int { return max(int(perSecond*burstSeconds), mostPacket+packetRoom) }
+
+// labelOf is what every datagram and connection of a site begins with.
+func labelOf(site string) []byte {
+	label := "elderyard/" + site
+	return append([]byte{labelMark, byte(len(label))}, label...)
+}
+
+func (t *transport) readPackets() {
+	buf := make([]byte, mostPacket+packetRoom+1)
+	for {
+		n, from, err := t.udp.ReadFromUDP(buf)
+		now := time.Now()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue // of a datagram that could not be delivered, told to the next read
+		}
+		t.counts.packetsIn.Add(1)
+		t.counts.bytesIn.Add(uint64(n))
+		// Whatever is not of this site goes no further: whoever can send here must not
+		// keep the library busy with what it could not open.
+		switch {
+		case n == len(buf):
+			t.counts.oversized.Add(1)
+			continue
+		case !bytes.HasPrefix(buf[:n], t.label):
+			t.counts.foreign.Add(1)
+			continue
+		case n < len(t.label)+leastSealed:
+			t.counts.unsealed.Add(1)
+			continue
+		}
+		select {
+		case t.packets <- &memberlist.Packet{Buf: bytes.Clone(buf[:n]), From: from, Timestamp: now}:
+		default:
+			t.counts.crowded.Add(1)
+		}
+	}
+}
+
+func (t *transport) accept() {
+	for {
+		conn, err := t.tcp.AcceptTCP()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(acceptPause) // out of descriptors, which others hold
+			continue
+		}
+		s := t.admit(conn)
+		if s == nil {
+			t.counts.crowded.Add(1)
+			conn.SetLinger(0)
+			conn.Close()
+			continue
+		}
+		t.counts.streamsIn.Add(1)
+		select {
+		case t.streams <- s:
+		case <-t.closed:
+			s.Close()
+			return
+		}
+	}
+}
+
+// admit bounds connections that others make.
+func (t *transport) admit(conn *net.TCPConn) *stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.open) >= mostStreams {
+		return nil
+	}
+	s := newStream(conn, t)
+	t.open[s] = struct{}{}
+	return s
+}
+
+// FinalAdvertiseAddr is what members are told of this one's address.
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return t.advert.IP, t.advert.Port, nil
+}
+
+// WriteTo sends a datagram.
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
+}
+
+// WriteToAddress sends a datagram. One over the bytes a second is dropped, as a
+// network drops it.
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	to, err := net.ResolveUDPAddr("udp", t.address(a))
+	if err != nil {
+		return time.Time{}, fmt.Errorf("peer: %w", err)
+	}
+	now := time.Now()
+	if !t.budget.AllowN(now, len(b)) {
+		t.counts.over.Add(1)
+		return now, nil
+	}
+	n, err := t.udp.WriteToUDP(b, to)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("peer: %w", err)
+	}
+	t.counts.packetsOut.Add(1)
+	t.counts.bytesOut.Add(uint64(n))
+	return now, nil
+}
+
+// address is where a member is reached from here.
+func (t *transport) address(a memberlist.Address) string {
+	if name, _, ok := splitName(a.Name); ok {
+		if to, set := t.reach[name]; set {
+			return to
+		}
+	}
+	return a.Addr
+}
+
+// PacketCh is what came.
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+
+// StreamCh is who came.
+func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
+
+// DialTimeout opens a connection.
+func (t *transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: addr}, within)
+}
+
+// DialAddressTimeout opens a connection to a member.
+func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
+	select {
+	case <-t.closed:
+		return nil, errEnded
+	default:
+	}
+	conn, err := net.DialTimeout("tcp", t.address(a), min(within, streamFor))
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	t.counts.streamsOut.Add(1)
+	return newStream(conn.(*net.TCPConn), t), nil
+}
+
+// Shutdown closes the sockets and waits for who reads them.
+func (t *transport) Shutdown() error {
+	t.once.Do(func() {
+		close(t.closed)
+		t.udp.Close()
+		t.tcp.Close()
+		t.mu.Lock()
+		for s := range t.open {
+			s.TCPConn.Close()
+		}
+		t.mu.Unlock()
+	})
+	t.wg.Wait()
+	return nil
+}
+
+// stream is a connection in bounds of bytes and time.
+type stream struct {
+	*net.TCPConn
+	t         *transport
+	until     time.Time
+	in, out   int // bytes that may still come and go
+	inMu      sync.Mutex
+	outMu     sync.Mutex
+	closeOnce sync.Once
+}
+
+func newStream(conn *net.TCPConn, t *transport) *stream {
+	s := &stream{TCPConn: conn, t: t, until: time.Now().Add(streamFor), in: mostStream, out: mostStream}
+	s.TCPConn.SetDeadline(s.until)
+	return s
+}
+
+// The library's own deadlines hold, but none beyond the connection's time.
+func (s *stream) bound(at time.Time) time.Time {
+	if at.IsZero() || at.After(s.until) {
+		return s.until
+	}
+	return at
+}
+
+// SetDeadline bounds both ways.
+func (s *stream) SetDeadline(at time.Time) error { return s.TCPConn.SetDeadline(s.bound(at)) }
+
+// SetReadDeadline bounds what comes.
+func (s *stream) SetReadDeadline(at time.Time) error { return s.TCPConn.SetReadDeadline(s.bound(at)) }
+
+// SetWriteDeadline bounds what goes.
+func (s *stream) SetWriteDeadline(at time.Time) error { return s.TCPConn.SetWriteDeadline(s.bound(at)) }
+
+// Read reads within the connection's bytes.
+func (s *stream) Read(b []byte) (int, error) {
+	s.inMu.Lock()
+	defer s.inMu.Unlock()
+	if s.in == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := s.TCPConn.Read(b[:min(len(b), s.in)])
+	s.in -= n
+	s.t.counts.bytesIn.Add(uint64(n))
+	return n, err
+}
+
+// Write writes within the connection's bytes, and waits for its share of the bytes
+// a second.
+func (s *stream) Write(b []byte) (int, error) {
+	s.outMu.Lock()
+	defer s.outMu.Unlock()
+	if len(b) > s.out {
+		return 0, io.ErrShortWrite
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), s.until)
+	defer cancel()
+	for left := len(b); left > 0; {
+		piece := min(left, s.t.budget.Burst())
+		if err := s.t.budget.WaitN(ctx, piece); err != nil {
+			return 0, fmt.Errorf("over the bytes a second that peers may send: %w", err)
+		}
+		left -= piece
+	}
+	n, err := s.TCPConn.Write(b)
+	s.out -= n
+	s.t.counts.bytesOut.Add(uint64(n))
+	return n, err
+}
+
+// Close closes it once.
+func (s *stream) Close() (err error) {
+	s.closeOnce.Do(func() {
+		err = s.TCPConn.Close()
+		s.t.mu.Lock()
+		delete(s.t.open, s)
+		s.t.mu.Unlock()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/peers/wire.go
@@ -0,0 +1,106 @@
+package peers
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/hashicorp/memberlist"
+
+	"linnetbend/members"
+)
+
+// Versions of what this program says beside the library's own messages. It reads
+// what any version from leastVersion on says; keys that it does not know are left
+// out. So members of neighbouring versions run side by side in an upgrade.
+const (
+	version      = 1
+	leastVersion = 1
+)
+
+const (
+	mostMeta    = memberlist.MetaMaxSize
+	mostMessage = 256 << 10
+	nameMark    = "#" // no name has it
+)
+
+// meta is what each member tells of itself to all, in each message about it.
+type meta struct {
+	Version int    `json:"v"`
+	Epoch   uint64 `json:"e"`
+	Sum     string `json:"s"`
+	Desk    string `json:"d,omitempty"`
+	Leaving bool   `json:"l,omitempty"` // its last word
+}
+
+func (m meta) encode() []byte {
+	text, err := json.Marshal(m)
+	if err != nil || len(text) > mostMeta {
+		m.Desk = "" // an address of hundreds of bytes
+		text, _ = json.Marshal(m)
+	}
+	return text
+}
+
+func decodeMeta(text []byte) (m meta, sum uint64, err error) {
+	if err := json.Unmarshal(text, &m); err != nil {
+		return meta{}, 0, fmt.Errorf("what a member says of itself: %w", err)
+	}
+	if m.Version < leastVersion {
+		return meta{}, 0, fmt.Errorf("a member speaks version %d, and the least is %d", m.Version, leastVersion)
+	}
+	if sum, err = strconv.ParseUint(m.Sum, 16, 64); err != nil {
+		return meta{}, 0, fmt.Errorf("the sum of a member's roster: %w", err)
+	}
+	return m, sum, nil
+}
+
+// message is what members exchange whole: with the library's own exchange of
+// states, and where one sees that another's roster is not its own.
+type message struct {
+	Version int             `json:"v"`
+	From    string          `json:"from"`
+	Roster  members.Roster  `json:"roster"`
+	Lives   []members.Lived `json:"lives,omitempty"`
+}
+
+func (m message) encode() []byte {
+	m.Version = version
+	text, err := json.Marshal(m)
+	if err != nil || len(text) > mostMessage {
+		return nil // it is made of names in bounds
+	}
+	return text
+}
+
+func decodeMessage(text []byte) (m message, err error) {
+	if len(text) > mostMessage {
+		return message{}, fmt.Errorf("a message of %d bytes", len(text))
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		return message{}, fmt.Errorf("message: %w", err)
+	}
+	if m.Version < leastVersion {
+		return message{}, fmt.Errorf("a message of version %d, and the least is %d", m.Version, leastVersion)
+	}
+	if key, err := m.Roster.Check(); err != nil {
+		return message{}, fmt.Errorf("roster of a message: %s: %w", key, err)
+	}
+	return m, nil
+}
+
+// nodeName is what the library calls one life of a name. Each life is a member of
+// its own there: so none is ever raised from the dead under another's number.
+func nodeName(name string, life members.Life) string {
+	return name + nameMark + strconv.FormatUint(uint64(life), 36)
+}
+
+func splitName(node string) (name string, life members.Life, ok bool) {
+	name, number, found := strings.Cut(node, nameMark)
+	n, err := strconv.ParseUint(number, 36, 64)
+	if !found || err != nil || n == 0 || members.CheckName(name) != nil {
+		return "", 0, false
+	}
+	return name, members.Life(n), true
+}
--- /dev/null
+++ b/internal/peers/wire_test.go
@@ -0,0 +1,100 @@
+package peers
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"linnetbend/members"
+)
+
+// garbage makes datagrams: of any bytes, with the site's label before them, cut
+// short, too long.
+type garbage struct{ rng *rand.Rand }
+
+func newGarbage(seed uint64) garbage { return garbage{rand.New(rand.NewPCG(seed, 1))} }
+
+func (g garbage) next(label []byte) []byte {
+	b := make([]byte, g.rng.IntN(300))
+	for i := range b {
+		b[i] = byte(g.rng.Uint32())
+	}
+	switch g.rng.IntN(4) {
+	case 0:
+		return append(append([]byte{}, label...), b...)
+	case 1:
+		return append(append(append([]byte{}, label...), byte(g.rng.IntN(3))), b...)
+	case 2:
+		if g.rng.IntN(8) == 0 {
+			return make([]byte, 3000+g.rng.IntN(3000))
+		}
+	}
+	return b
+}
+
+func TestNodeNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringMatching(`[a-zA-Z0-9._-]{1,64}`).Draw(t, "name")
+		life := members.Life(rapid.Uint64Min(1).Draw(t, "life"))
+		if n, l, ok := splitName(nodeName(name, life)); !ok || n != name || l != life {
+			t.Fatalf("%q %d: %q %d %v", name, life, n, l, ok)
+		}
+	})
+	for _, bad := range []string{"", "g0", "g0#", "#1", "g0#0", "g0#-1", "g0#zz zz", "g 0#1", "g0#1#2"} {
+		if _, _, ok := splitName(bad); ok {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
+
+// A member of the next version says more: what is known here is read, the rest left
+// out. One of a version that is too old is not.
+func TestMessagesOfOtherVersions(t *testing.T) {
+	m, sum, err := decodeMeta([]byte(`{"v":2,"e":9,"s":"00000000000000ff","new":{"a":[1]}}`))
+	if err != nil || m.Epoch != 9 || sum != 255 {
+		t.Errorf("%+v, %x, %v", m, sum, err)
+	}
+	got, err := decodeMessage([]byte(`{"v":2,"from":"g1","later":true,"roster":{"epoch":3,"members":[{"name":"g1","more":1}]}}`))
+	if err != nil || got.Roster.Epoch != 3 || got.From != "g1" {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, bad := range []string{"", "{", `{"v":0,"e":1,"s":"1"}`, `{"v":1,"e":1,"s":"x"}`} {
+		if _, _, err := decodeMeta([]byte(bad)); err == nil {
+			t.Errorf("meta %q was read", bad)
+		}
+	}
+	for _, bad := range []string{"", "{", `{"v":0}`, `{"v":1,"roster":{"epoch":0}}`, `{"v":1,"roster":{"epoch":1,"members":[{"name":"a"},{"name":"a"}]}}`,
+		`{"v":1,"from":"` + strings.Repeat("x", mostMessage) + `"}`} {
+		if _, err := decodeMessage([]byte(bad)); err == nil {
+			t.Errorf("message %.40q was read", bad)
+		}
+	}
+}
+
+func TestMetaFits(t *testing.T) {
+	for _, desk := range []string{"", "127.0.0.1:1", strings.Repeat("h", 600) + ":1"} {
+		m := meta{Version: version, Epoch: 1 << 60, Sum: "ffffffffffffffff", Desk: desk, Leaving: true}
+		text := m.encode()
+		if len(text) > mostMeta {
+			t.Errorf("%d bytes", len(text))
+		}
+		if _, _, err := decodeMeta(text); err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"v":1,"from":"g1","roster":{"epoch":3,"members":[{"name":"g1"}]},"lives":[{"Name":"g1","Life":3}]}`))
+	f.Add([]byte(`{"v":1,"e":9,"s":"00000000000000ff","d":"127.0.0.1:1","l":true}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if m, err := decodeMessage(text); err == nil {
+			if _, err := decodeMessage(m.encode()); err != nil {
+				t.Errorf("%s: %v", text, err)
+			}
+		}
+		decodeMeta(text)
+	})
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -27,6 +27,27 @@
 
 	Telemetry Telemetry `toml:"telemetry" doc:"traces and metrics, to a collector by OTLP"`
 	Moments   Moments   `toml:"moments" doc:"counts by tenths of a second, to a file"`
+	Peers     Peers     `toml:"peers" doc:"the other gateways of the site; needs the program elderyard-peers"`
+}
+
+// Peers says how a gateway and the others of its site know each other.
+type Peers struct {
+	Listen    string          `toml:"listen" doc:"IP address and port for the others, UDP and TCP; default none, and the gateway knows nobody"`
+	Advertise string          `toml:"advertise" doc:"IP address and port that the others are told; default listen"`
+	Site      string          `toml:"site" doc:"name of the site; sites of different names never mix (needed with listen)"`
+	KeyFile   string          `toml:"key_file" doc:"file of keys, one a line, base64 of 16, 24 or 32 bytes; the first seals, all open; read again when it changes (needed with listen)"`
+	Roster    string          `toml:"roster" doc:"file that says who belongs; read again when it changes; default what the agent keeps"`
+	Dir       string          `toml:"dir" doc:"folder that keeps the number of the last start, roster and addresses, under the gateway's name (needed with listen)"`
+	Seeds     []string        `toml:"seeds" doc:"addresses, or names that reach has, that are asked first; default none: the gateway waits to be asked"`
+	Every     strict.Duration `toml:"every" doc:"between probes of others; all other times follow from it; 100ms to 10s, default 1s"`
+	MostKB    int             `toml:"most_kb" doc:"KiB a second that are sent at most; 8 to 65536, default 256"`
+	Reach     []PeerReach     `toml:"reach" doc:"members that are reached from here at another address than they say"`
+}
+
+// PeerReach is where one member is reached from here.
+type PeerReach struct {
+	Name    string `toml:"name" doc:"its name"`
+	Address string `toml:"address" doc:"IP address and port"`
 }
 
 // Moments says where the counts of short spans go.
@@ -110,6 +131,7 @@
 func Defaults() Settings {
 	return Settings{Clients: Clients{SocketShare: 0.75, MemoryShare: 0.25}, Memory: Memory{HeapShare: 0.7, HeapGrow: 400},
 		Counter: Counter{Kind: "http", Prefix: "elderyard:"}, RESP: RESP{Most: 64, Idle: strict.Duration(5 * time.Minute)},
+		Peers:   Peers{Every: strict.Duration(time.Second), MostKB: 256},
 		Moments: Moments{Every: strict.Duration(100 * time.Millisecond), MB: 16},
 		Telemetry: Telemetry{Protocol: "http", Traces: true, Metrics: true, Share: 0.01, Keep: []string{"failed", "late", "repeated"}, Interval: strict.Duration(10 * time.Second),
 			Timeout: strict.Duration(10 * time.Second), Flush: strict.Duration(500 * time.Millisecond), QueueKB: 1024}}
@@ -146,6 +168,7 @@
 		{"telemetry.share", s.Telemetry.Share, 0, 1},
 		{"telemetry.queue_kb", float64(s.Telemetry.QueueKB), 64, 65536},
 		{"moments.most_mb", float64(s.Moments.MB), 1, 1024},
+		{"peers.most_kb", float64(s.Peers.MostKB), 8, 65536},
 	} {
 		if !(r.value >= r.least && r.value <= r.most) {
 			return Settings{}, strict.At(file, text, r.key, "%g is not between %g and %g", r.value, r.least, r.most)
@@ -174,9 +197,60 @@
 	if key, err := s.Telemetry.check(); err != nil {
 		return key, err
 	}
+	if key, err := s.Peers.check(); err != nil {
+		return key, err
+	}
 	return s.RESP.Check()
 }
 
+func (p *Peers) check() (key string, err error) {
+	if every := time.Duration(p.Every); every < 100*time.Millisecond || every > 10*time.Second {
+		return "peers.every", fmt.Errorf("%v is not between 100ms and 10s", every)
+	}
+	if p.Listen == "" {
+		return "", nil
+	}
+	for _, f := range [][2]string{{"site", p.Site}, {"key_file", p.KeyFile}, {"dir", p.Dir}} {
+		if f[1] == "" {
+			return "peers." + f[0], errors.New("it is needed with listen")
+		}
+	}
+	if len(p.Site) > 64 {
+		return "peers.site", errors.New("it is longer than 64 bytes")
+	}
+	for key, address := range map[string]string{"peers.listen": p.Listen, "peers.advertise": p.Advertise} {
+		if err := ipPort(address); address != "" && err != nil {
+			return key, err
+		}
+	}
+	seen := map[string]bool{}
+	for i, r := range p.Reach {
+		if r.Name == "" || seen[r.Name] {
+			return fmt.Sprintf("peers.reach[%d].name", i), fmt.Errorf("%q is empty or stands twice", r.Name)
+		}
+		seen[r.Name] = true
+		if err := ipPort(r.Address); err != nil {
+			return fmt.Sprintf("peers.reach[%d].address", i), err
+		}
+	}
+	for _, seed := range p.Seeds {
+		if err := ipPort(seed); err != nil && !seen[seed] {
+			return "peers.seeds", fmt.Errorf("%q is neither an IP address with a port nor a name that reach has", seed)
+		}
+	}
+	return "", nil
+}
+
+// ipPort finds what is wrong with an address. Names are not looked up: who must
+// find the others when little works rests on nothing else.
+func ipPort(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if n, bad := strconv.ParseUint(port, 10, 16); err != nil || net.ParseIP(host) == nil || bad != nil || n == 0 {
+		return fmt.Errorf("%q is not an IP address with a port", address)
+	}
+	return nil
+}
+
 func (t *Telemetry) check() (key string, err error) {
 	for _, d := range []struct {
 		key         string
--- /dev/null
+++ b/members/machine_test.go
@@ -0,0 +1,449 @@
+package members
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func s(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+func settings(self string, life Life) Settings {
+	return Settings{Self: self, Life: life, Tick: s(0.25), StallAfter: s(1.5), Settle: s(2), SettleMost: s(60), Blind: s(12)}
+}
+
+func names(n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprintf("g%d", i))
+	}
+	return list
+}
+
+func roster(n int) Roster { return Roster{}.Next(names(n)) }
+
+// tester drives the machine of g0.
+type tester struct {
+	*Machine
+	t *testing.T
+}
+
+func begin(t *testing.T, r Roster) *tester {
+	t.Helper()
+	m, err := New(settings("g0", 100), r, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tester{m, t}
+}
+
+func (m *tester) do(events ...Event) {
+	for _, ev := range events {
+		m.Handle(m.now, ev)
+	}
+}
+
+// pass lets time pass, with ticks in time and an answer of each of those named.
+func (m *tester) pass(d time.Duration, answer ...string) {
+	for end := m.now + d; m.now < end; {
+		m.Handle(m.now+s(0.25), Tick{})
+		for _, name := range answer {
+			if f := m.fellows[name]; f != nil {
+				m.Handle(m.now, Heard{name, f.life})
+			}
+		}
+	}
+}
+
+func (m *tester) meet(names ...string) {
+	for _, name := range names {
+		r := m.Roster()
+		m.do(Alive{Name: name, Life: 100, Epoch: r.Epoch, Sum: r.Sum()}, Heard{name, 100})
+	}
+}
+
+func (m *tester) lose(names ...string) {
+	for _, name := range names {
+		m.do(Failed{name, m.fellows[name].life})
+	}
+}
+
+func (m *tester) want(v Verdict) {
+	m.t.Helper()
+	if p := m.Picture(m.now); p.Verdict != v {
+		m.t.Errorf("at %v: %v (%s), want %v", m.now, p.Verdict, p.Why, v)
+	}
+}
+
+func whole(t *testing.T, n int) *tester {
+	t.Helper()
+	m := begin(t, roster(n))
+	m.meet(names(n)[1:]...)
+	m.pass(s(3), names(n)[1:]...)
+	m.want(Whole)
+	return m
+}
+
+func TestVerdictsOfAFive(t *testing.T) {
+	m := whole(t, 5)
+	for i, want := range []Verdict{Majority, Majority, Minority} {
+		m.lose(names(5)[i+1])
+		m.want(want)
+	}
+	m.lose("g4")
+	m.want(Alone)
+	if p := m.Picture(m.now); p.Safe != 5 || p.Likely != 1 {
+		t.Errorf("safe %d and likely %d, want 5 and 1: nobody has agreed that anybody left", p.Safe, p.Likely)
+	}
+}
+
+func TestEvenHalves(t *testing.T) {
+	m := whole(t, 4)
+	m.lose("g1", "g2")
+	m.want(Even)
+	if may, _ := m.May(m.now, HoldDuty); may {
+		t.Error("half of the roster may hold a duty, and the other half may too")
+	}
+}
+
+func TestOneOfOneIsWhole(t *testing.T) {
+	m := begin(t, roster(1))
+	m.pass(s(3))
+	m.want(Whole)
+}
+
+// Nothing is known right after a start, and a better verdict has to hold.
+func TestStartIsUnsure(t *testing.T) {
+	m := begin(t, roster(3))
+	m.want(Unsure)
+	m.meet("g1", "g2")
+	m.want(Unsure)
+	m.pass(s(1.5), "g1", "g2")
+	m.want(Unsure)
+	m.pass(s(1), "g1", "g2")
+	m.want(Whole)
+}
+
+// Whoever nobody ever answers finds out that it is alone, but not at once.
+func TestStartAlone(t *testing.T) {
+	m := begin(t, roster(3))
+	m.pass(s(11))
+	m.want(Unsure)
+	m.pass(s(4))
+	m.want(Alone)
+}
+
+// A sleeper knows nothing until it has heard somebody again, whatever its detector
+// makes of the silence meanwhile; others' silence proves something after a while awake.
+func TestSleepMakesUnsure(t *testing.T) {
+	m := whole(t, 3)
+	m.now += s(30)
+	m.do(Failed{"g1", 100}, Failed{"g2", 100}) // its own timers, all late
+	m.want(Unsure)
+	m.pass(s(5))
+	m.want(Unsure)
+	m.meet("g1", "g2")
+	m.pass(s(5), "g1", "g2")
+	m.want(Whole)
+
+	m.now += s(30)
+	m.do(Failed{"g1", 100}, Failed{"g2", 100})
+	m.pass(s(25))
+	m.want(Alone)
+}
+
+func TestShortDelayIsNoSleep(t *testing.T) {
+	m := whole(t, 3)
+	m.now += s(1.2)
+	m.do(Tick{})
+	m.want(Whole)
+}
+
+// One that is cut off from a large site hears so long before its detector has given
+// up all the others.
+func TestOwnProbesThatFail(t *testing.T) {
+	m := whole(t, 100)
+	for i := range 3 {
+		m.do(Suspected{names(100)[i+1], 100, "g0"})
+	}
+	m.want(Whole)
+	m.do(Suspected{"g4", 100, "g0"})
+	m.want(Unsure)
+	// Probes of those that have gone say nothing about this one.
+	m = whole(t, 100)
+	for i := range 6 {
+		m.do(Failed{names(100)[i+1], 100}, Suspected{names(100)[i+1], 100, "g0"})
+	}
+	m.want(Majority)
+}
+
+// A way that flaps for ten minutes changes the verdict a few times only.
+func TestFlappingWayChangesVerdictSeldom(t *testing.T) {
+	m := whole(t, 3)
+	changes, last := 0, m.Picture(m.now).Verdict
+	for range 600 {
+		m.lose("g1")
+		m.pass(s(0.5), "g2")
+		m.meet("g1")
+		m.pass(s(0.5), "g1", "g2")
+		if v := m.Picture(m.now).Verdict; v != last {
+			changes, last = changes+1, v
+		}
+	}
+	if changes > 4 {
+		t.Errorf("%d changes of the verdict in ten minutes", changes)
+	}
+	m.pass(s(200), "g1", "g2")
+	m.want(Whole)
+}
+
+// However a way flaps, verdicts that rise in any window are bounded by the dwell
+// times: so many as fit if each has to hold twice as long as the last.
+func TestSlowFlappingIsBounded(t *testing.T) {
+	for _, half := range []float64{1, 2.2, 3, 5, 9, 17, 33} {
+		m := whole(t, 3)
+		rises, last, at := 0, m.Picture(m.now).Verdict, m.now
+		for m.now-at < 600*time.Second {
+			m.lose("g1")
+			m.pass(s(half), "g2")
+			m.meet("g1")
+			for range int(half * 4) {
+				m.pass(s(0.25), "g1", "g2")
+				v := m.Picture(m.now).Verdict
+				if v > last {
+					rises++
+				}
+				last = v
+			}
+			last = m.Picture(m.now).Verdict
+		}
+		if rises > 22 {
+			t.Errorf("half a period of %g s: %d rises in ten minutes", half, rises)
+		}
+	}
+}
+
+// Two lives of one name: the later one is it, whoever hears of them in what order.
+func TestLaterLifeTakesTheName(t *testing.T) {
+	m := whole(t, 3)
+	m.do(Alive{Name: "g1", Life: 200, Epoch: 1, Sum: m.roster.Sum()})
+	p := m.Picture(m.now)
+	if v := p.Members[1]; v.Life != 200 || v.Older != 1 || p.Safe != 4 {
+		t.Errorf("%+v, safe %d: want life 200 and the earlier one beside it until it is gone", v, p.Safe)
+	}
+	m.do(Heard{"g1", 100}, Alive{Name: "g1", Life: 100, Epoch: 1, Sum: m.roster.Sum()})
+	if v := m.Picture(m.now).Members[1]; v.Life != 200 {
+		t.Errorf("life %d was raised from the dead", v.Life)
+	}
+	m.do(Failed{"g1", 100})
+	if p := m.Picture(m.now); p.Members[1].Older != 0 || p.Safe != 3 || !p.Members[1].State.There() {
+		t.Errorf("%+v, safe %d after the earlier life is gone", p.Members[1], p.Safe)
+	}
+}
+
+// The earlier life learns that it is over, and holds nothing from then on.
+func TestEarlierLifeYields(t *testing.T) {
+	for _, ev := range []Event{Alive{Name: "g0", Life: 101, Epoch: 1}, Lived{"g0", 101}} {
+		m := whole(t, 3)
+		m.do(ev)
+		m.want(Unsure)
+		m.pass(s(100), "g1", "g2")
+		m.want(Unsure)
+		if may, _ := m.May(m.now, HoldDuty); may {
+			t.Errorf("after %T it may still hold a duty", ev)
+		}
+		if m.Share() != NoShare {
+			t.Errorf("after %T it still has a share: %d", ev, m.Share())
+		}
+	}
+	m := whole(t, 3)
+	m.do(Lived{"g0", 99}, Lived{"g0", 100})
+	m.pass(s(1), "g1", "g2")
+	m.want(Whole)
+}
+
+// The later life waits until the earlier one is gone.
+func TestLaterLifeWaits(t *testing.T) {
+	m := whole(t, 3)
+	m.do(Alive{Name: "g0", Life: 99, Epoch: 1})
+	m.want(Unsure)
+	if m.Share() != NoShare {
+		t.Errorf("share by %d beside an earlier life that goes on", m.Share())
+	}
+	m.do(Failed{"g0", 99})
+	m.pass(s(5), "g1", "g2")
+	m.want(Whole)
+	if m.Share() != 3 {
+		t.Errorf("share by %d, want 3", m.Share())
+	}
+}
+
+func TestEndedLifeStaysEnded(t *testing.T) {
+	m := whole(t, 3)
+	m.do(Left{"g1", 100})
+	m.do(Alive{Name: "g1", Life: 100, Epoch: 1}, Heard{"g1", 100})
+	if v := m.Picture(m.now).Members[1]; v.State != Ended {
+		t.Errorf("a life that had said good-bye is %v", v.State)
+	}
+	m.do(Alive{Name: "g1", Life: 101, Epoch: 1})
+	if v := m.Picture(m.now).Members[1]; v.State != Living {
+		t.Errorf("the next life is %v", v.State)
+	}
+}
+
+func TestEpochsOnlyGrow(t *testing.T) {
+	m := whole(t, 3)
+	two := m.roster.Next([]string{"g0", "g1"})
+	m.do(RosterTold{two, "g1"})
+	if p := m.Picture(m.now); p.Epoch != 2 || p.Belong != 2 {
+		t.Fatalf("epoch %d with %d", p.Epoch, p.Belong)
+	}
+	m.do(RosterTold{roster(3), "g2"})
+	if m.Picture(m.now).Epoch != 2 {
+		t.Error("an older roster was taken")
+	}
+}
+
+// A departure counts when it is agreed, and whoever goes on talking goes on counting.
+func TestSafeCountOfARemovedOne(t *testing.T) {
+	m := whole(t, 3)
+	m.do(RosterTold{m.roster.Next([]string{"g0", "g1"}), "g1"})
+	if p := m.Picture(m.now); p.Safe != 3 {
+		t.Errorf("safe %d while the removed one is heard, want 3", p.Safe)
+	}
+	m.do(Failed{"g2", 100})
+	m.pass(s(3), "g1")
+	if p := m.Picture(m.now); p.Safe != 2 || p.Share != 2 {
+		t.Errorf("safe %d, share by %d once it is gone, want 2", p.Safe, p.Share)
+	}
+}
+
+// A larger share waits for a verdict that allows it; a smaller one is taken at once.
+func TestShareWidensOnlyWithAMajority(t *testing.T) {
+	m := whole(t, 5)
+	m.lose("g2", "g3", "g4")
+	m.want(Minority)
+	m.do(RosterTold{m.roster.Next([]string{"g0", "g1", "g2", "g3"}), "file"})
+	if p := m.Picture(m.now); p.Safe != 4 || p.Share != 5 {
+		t.Errorf("safe %d, share by %d, want 4 and 5: a minority widens nothing", p.Safe, p.Share)
+	}
+	m.do(RosterTold{m.roster.Next(names(8)), "file"})
+	if p := m.Picture(m.now); p.Share != 8 {
+		t.Errorf("share by %d, want 8 at once", p.Share)
+	}
+}
+
+// A newcomer has no part in what all share until all know of it.
+func TestNewcomerWaitsForAll(t *testing.T) {
+	grown := roster(3).Next([]string{"g0", "g1", "g2", "g3"})
+	m, err := New(settings("g3", 100), grown, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &tester{m, t}
+	for _, name := range []string{"g0", "g1"} {
+		d.do(Alive{Name: name, Life: 100, Epoch: 2, Sum: grown.Sum()}, Heard{name, 100})
+	}
+	d.do(Alive{Name: "g2", Life: 100, Epoch: 1}, Heard{"g2", 100})
+	d.pass(s(5), "g0", "g1", "g2")
+	if p := d.Picture(d.now); p.Joining != "g2" || p.Share != NoShare {
+		t.Errorf("joining %q, share by %d: g2 does not know of it yet", p.Joining, p.Share)
+	}
+	d.do(Alive{Name: "g2", Life: 100, Epoch: 2, Sum: grown.Sum()})
+	d.pass(s(1), "g0", "g1", "g2")
+	if p := d.Picture(d.now); p.Joining != "" || p.Share != 4 {
+		t.Errorf("joining %q, share by %d, want 4", p.Joining, p.Share)
+	}
+	d.lose("g2")
+	d.do(Alive{Name: "g2", Life: 101, Epoch: 1}) // it starts again with an old file
+	if p := d.Picture(d.now); p.Joining != "" {
+		t.Error("what all have known was forgotten")
+	}
+}
+
+// Two rosters of one epoch are a mistake of people: nobody is sure, and the count
+// covers both.
+func TestRostersOfOneEpoch(t *testing.T) {
+	m := whole(t, 3)
+	other := Roster{}.Next([]string{"g0", "g1", "x1", "x2"})
+	m.do(RosterTold{other, "x1"})
+	m.want(Unsure)
+	if p := m.Picture(m.now); p.Safe != 5 {
+		t.Errorf("safe %d, want 5: g0 to g2, x1 and x2", p.Safe)
+	}
+	m.do(RosterTold{m.roster.Next(names(3)), "file"})
+	m.pass(s(5), "g1", "g2")
+	m.want(Whole)
+}
+
+func TestOutsideTheRoster(t *testing.T) {
+	m := whole(t, 3)
+	m.do(RosterTold{m.roster.Next([]string{"g1", "g2"}), "g1"})
+	m.want(Unsure)
+	if m.Share() != NoShare {
+		t.Errorf("share by %d, and it does not belong", m.Share())
+	}
+}
+
+// What others can make grow is bounded.
+func TestStrangersAreBounded(t *testing.T) {
+	m := whole(t, 3)
+	for i := range 10000 {
+		m.do(Alive{Name: fmt.Sprintf("x%d", i), Life: 1, Epoch: 1}, Lived{fmt.Sprintf("y%d", i), 1}, Suspected{"g1", 100, "g2"})
+		m.do(Alive{Name: "g1", Life: Life(1000 + i), Epoch: 1})
+	}
+	if n := len(m.fellows); n > 3+mostStrangers {
+		t.Errorf("%d names are kept", n)
+	}
+	if n := len(m.fellows["g1"].older); n > mostOlder {
+		t.Errorf("%d earlier lives are kept", n)
+	}
+	if n := len(m.evidence); n > mostEvidence {
+		t.Errorf("%d entries of evidence are kept", n)
+	}
+	if p := m.Picture(m.now); p.Dropped == 0 {
+		t.Error("what was dropped is not counted")
+	}
+}
+
+func TestRosterCheck(t *testing.T) {
+	many := Roster{Epoch: 1}
+	for i := range MostNames + 1 {
+		many.Members = append(many.Members, Member{Name: fmt.Sprintf("m%d", i)})
+	}
+	for _, c := range []struct {
+		r    Roster
+		key  string
+		says string
+	}{
+		{Roster{}, "epoch", "missing"},
+		{Roster{Epoch: 1}, "member", "none"},
+		{Roster{Epoch: 1, Members: []Member{{Name: "a"}, {Name: "b"}, {Name: "a"}}}, "member[2].name", "twice"},
+		{Roster{Epoch: 1, Members: []Member{{Name: "a"}, {Name: ""}}}, "member[1].name", "a name has"},
+		{Roster{Epoch: 1, Members: []Member{{Name: "a#1"}}}, "member[0].name", "a name has"},
+		{Roster{Epoch: 1, Members: []Member{{Name: strings.Repeat("a", 65)}}}, "member[0].name", "a name has"},
+		{Roster{Epoch: 1, Members: []Member{{Name: "a", Since: 2}}}, "member[0].since", "epoch 2"},
+		{many, "member", "513"},
+	} {
+		if key, err := c.r.Check(); err == nil || key != c.key || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%.80v: %s: %v, want %s: ...%s...", c.r, key, err, c.key, c.says)
+		}
+	}
+	if _, err := roster(1).Check(); err != nil {
+		t.Errorf("a roster of one: %v", err)
+	}
+}
+
+func TestSettingsCheck(t *testing.T) {
+	good := settings("g0", 1)
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.Self = "" }, func(s *Settings) { s.Life = 0 }, func(s *Settings) { s.Tick = 0 },
+		func(s *Settings) { s.StallAfter = s.Tick }, func(s *Settings) { s.SettleMost = s.Settle - 1 }, func(s *Settings) { s.Blind = 0 },
+	} {
+		bad := good
+		change(&bad)
+		if _, err := New(bad, roster(1), 0); err == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+}
--- /dev/null
+++ b/members/roster.go
@@ -0,0 +1,113 @@
+package members
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// Bounds of what is kept, whatever others say.
+const (
+	MostNames = 512 // in a roster
+	MostName  = 64  // bytes of a name: names go in every datagram
+
+	mostStrangers = 64  // names outside the roster that are kept track of
+	mostOlder     = 4   // earlier lives of one name
+	mostEvidence  = 512 // entries; the oldest go
+)
+
+// Life numbers the lives of a name. A later life has a higher number.
+type Life uint64
+
+// Member is one name of a roster.
+type Member struct {
+	Name  string `toml:"name" json:"name" doc:"name of a gateway (needed)"`
+	Since uint64 `toml:"since" json:"since,omitempty" doc:"epoch in which it was added; 0, the default: it was there from the start"`
+}
+
+// Roster says who belongs. Epochs only grow: of two rosters the one of the
+// higher epoch holds.
+type Roster struct {
+	Epoch   uint64   `toml:"epoch" json:"epoch" doc:"number of this roster, above that of each one before (needed)"`
+	Members []Member `toml:"member" json:"members" doc:"who belongs (needed)"`
+}
+
+// Sorted returns the roster with its members in order of name.
+func (r Roster) Sorted() Roster {
+	r.Members = slices.Clone(r.Members)
+	slices.SortFunc(r.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return r
+}
+
+// Check finds what is wrong with a roster, and names the key that it stands at.
+func (r Roster) Check() (key string, err error) {
+	switch {
+	case r.Epoch == 0:
+		return "epoch", errors.New("it is 0 or missing; the first is 1")
+	case len(r.Members) == 0:
+		return "member", errors.New("there is none")
+	case len(r.Members) > MostNames:
+		return "member", fmt.Errorf("there are %d, and %d may be", len(r.Members), MostNames)
+	}
+	seen := map[string]int{}
+	for i, m := range r.Members {
+		key := fmt.Sprintf("member[%d].name", i)
+		if err := CheckName(m.Name); err != nil {
+			return key, err
+		}
+		if first, twice := seen[m.Name]; twice {
+			return key, fmt.Errorf("%q stands twice, first as member[%d]", m.Name, first)
+		}
+		seen[m.Name] = i
+		if m.Since > r.Epoch {
+			return fmt.Sprintf("member[%d].since", i), fmt.Errorf("%s was added in epoch %d, and this is epoch %d", m.Name, m.Since, r.Epoch)
+		}
+	}
+	return "", nil
+}
+
+// CheckName finds what is wrong with the name of a member.
+func CheckName(name string) error {
+	plain := func(r rune) bool {
+		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
+	}
+	if name == "" || len(name) > MostName || strings.ContainsFunc(name, func(r rune) bool { return !plain(r) }) {
+		return fmt.Errorf("%.80q: a name has letters, digits, '-', '_' and '.', 1 to %d of them", name, MostName)
+	}
+	return nil
+}
+
+// Has tells whether a name belongs.
+func (r Roster) Has(name string) bool {
+	return slices.ContainsFunc(r.Members, func(m Member) bool { return m.Name == name })
+}
+
+// Sum is the same for the same roster in whatever order: two of one epoch that
+// differ are told apart by it.
+func (r Roster) Sum() uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d", r.Epoch)
+	for _, m := range r.Sorted().Members {
+		fmt.Fprintf(h, " %s %d", m.Name, m.Since)
+	}
+	return h.Sum64()
+}
+
+// Next is the roster after a change: names that are new have its epoch as their
+// since, the others keep theirs.
+func (r Roster) Next(names []string) Roster {
+	next := Roster{Epoch: r.Epoch + 1}
+	for _, name := range names {
+		m := Member{Name: name, Since: next.Epoch}
+		if i := slices.IndexFunc(r.Members, func(m Member) bool { return m.Name == name }); i >= 0 {
+			m.Since = r.Members[i].Since
+		} else if r.Epoch == 0 {
+			m.Since = 0 // a founder: nobody was there before who would have to know of it
+		}
+		next.Members = append(next.Members, m)
+	}
+	return next.Sorted()
+}
--- /dev/null
+++ b/members/search_test.go
@@ -0,0 +1,324 @@
+package members
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var searchDepth = flag.Int("depth", 4, "events of the exhaustive search of three members")
+
+// A small world of three names, walked through every interleaving to a depth. Ways
+// between processes are up or cut, in one direction or both; a process stalls and
+// wakes, ends and starts again, or is started a second time while the first goes
+// on; the roster loses a member whose process has ended and takes it back. Times are
+// whole seconds, so that states meet again.
+
+// soul is one process.
+type soul struct {
+	name    string
+	machine *Machine
+	running bool
+	stalled bool
+}
+
+type world struct {
+	souls    []*soul
+	cut      map[[2]string]bool // from, to
+	roster   Roster             // agreed
+	lives    Life
+	restarts int
+	trail    []string
+}
+
+var worldNames = []string{"a", "b", "c"}
+
+func worldSettings(name string, life Life) Settings {
+	return Settings{Self: name, Life: life, Tick: time.Second, StallAfter: 2 * time.Second, Settle: time.Second, SettleMost: 2 * time.Second, Blind: 3 * time.Second}
+}
+
+func newWorld() *world {
+	w := &world{cut: map[[2]string]bool{}, roster: Roster{}.Next(worldNames)}
+	for _, name := range worldNames {
+		w.start(name, w.roster)
+	}
+	return w
+}
+
+func (w *world) start(name string, r Roster) *soul {
+	w.lives++
+	m, err := New(worldSettings(name, w.lives), r, 0)
+	if err != nil {
+		panic(err)
+	}
+	s := &soul{name: name, machine: m, running: true}
+	w.souls = append(w.souls, s)
+	return s
+}
+
+func (w *world) clone() *world {
+	c := &world{cut: maps.Clone(w.cut), roster: w.roster, lives: w.lives, restarts: w.restarts, trail: slices.Clone(w.trail)}
+	for _, s := range w.souls {
+		t := *s
+		t.machine = s.machine.clone()
+		c.souls = append(c.souls, &t)
+	}
+	return c
+}
+
+func (m *Machine) clone() *Machine {
+	c := *m
+	c.evidence = nil
+	c.probes = slices.Clone(m.probes)
+	c.rivals = maps.Clone(m.rivals)
+	c.fellows = map[string]*fellow{}
+	for name, f := range m.fellows {
+		g := *f
+		g.older = slices.Clone(f.older)
+		c.fellows[name] = &g
+	}
+	return &c
+}
+
+// key is the same for states from which the same can follow.
+func (w *world) key() string {
+	var b strings.Builder
+	age := func(m *Machine, t Time) int { return int(min(m.now-t, 4*time.Second) / time.Second) }
+	fmt.Fprint(&b, w.roster.Epoch, w.restarts, w.cut)
+	for _, s := range w.souls {
+		m := s.machine
+		fmt.Fprint(&b, "|", s.name, s.running, s.stalled, m.set.Life, m.roster.Epoch, m.superseded, m.joined, m.share, m.verdict, m.changes,
+			age(m, m.ticked), age(m, m.woke), m.heard > m.woke, age(m, m.changedAt), m.probes)
+		for _, t := range m.allowed {
+			fmt.Fprint(&b, ",", age(m, t))
+		}
+		for _, name := range worldNames {
+			if f := m.fellows[name]; f != nil {
+				fmt.Fprint(&b, ";", name, f.life, f.state, f.knew, f.epoch, f.older, f.state == Suspect && age(m, f.since) > 2)
+			}
+		}
+	}
+	return b.String()
+}
+
+// up tells whether a process hears another.
+func (w *world) up(from, to *soul) bool {
+	return from.running && to.running && !from.stalled && !to.stalled && !w.cut[[2]string{from.name, to.name}]
+}
+
+func (w *world) both(a, b *soul) bool { return w.up(a, b) && w.up(b, a) }
+
+// gossip gives what one knows to another, as an exchange of states does.
+func (w *world) gossip(from, to *soul) {
+	m, at := to.machine, to.machine.now
+	r := from.machine.roster
+	for _, l := range from.machine.Lives() {
+		m.Handle(at, l)
+	}
+	m.Handle(at, RosterTold{r, from.name})
+	m.Handle(at, Alive{Name: from.name, Life: from.machine.set.Life, Epoch: r.Epoch, Sum: r.Sum()})
+	for _, f := range from.machine.fellows {
+		for _, o := range f.older {
+			if o.there {
+				m.Handle(at, Alive{Name: f.name, Life: o.life, Epoch: f.epoch, Sum: f.sum})
+			}
+		}
+		if f.state.There() && f.life != 0 {
+			m.Handle(at, Alive{Name: f.name, Life: f.life, Epoch: f.epoch, Sum: f.sum})
+		}
+	}
+}
+
+type step struct {
+	what string
+	do   func(*world)
+}
+
+// steps are all that can happen next.
+func (w *world) steps() (list []step) {
+	add := func(do func(*world), format string, a ...any) {
+		list = append(list, step{fmt.Sprintf(format, a...), do})
+	}
+	add(func(w *world) {
+		for _, s := range w.souls {
+			switch {
+			case s.stalled:
+				s.machine.now += 3 * time.Second // no tick: it sleeps
+			case s.running:
+				s.machine.Handle(s.machine.now+time.Second, Tick{})
+			}
+		}
+	}, "time")
+	for i, s := range w.souls {
+		if !s.running {
+			continue
+		}
+		if s.stalled {
+			add(func(w *world) { w.souls[i].stalled = false }, "wake %s%d", s.name, s.machine.set.Life)
+			continue
+		}
+		add(func(w *world) {
+			w.souls[i].stalled = true
+			w.souls[i].machine.now += 3 * time.Second
+		}, "stall %s%d", s.name, s.machine.set.Life)
+		if w.restarts < 2 {
+			add(func(w *world) { w.souls[i].running = false }, "kill %s%d", s.name, s.machine.set.Life)
+		}
+		if s.machine.roster.Epoch < w.roster.Epoch {
+			add(func(w *world) { w.souls[i].machine.Handle(w.souls[i].machine.now, RosterTold{w.roster, "file"}) }, "%s%d reads epoch %d", s.name, s.machine.set.Life, w.roster.Epoch)
+		}
+		for k, o := range w.souls {
+			if i == k || o.name == s.name && o.machine.set.Life == s.machine.set.Life {
+				continue
+			}
+			life, name := o.machine.set.Life, o.name
+			f := s.machine.fellows[name]
+			known := f != nil && f.life == life && f.state.There()
+			if w.both(s, o) {
+				add(func(w *world) { w.gossip(w.souls[k], w.souls[i]); w.gossip(w.souls[i], w.souls[k]) }, "%s%d and %s%d exchange", s.name, s.machine.set.Life, name, life)
+				if known {
+					add(func(w *world) { w.souls[i].machine.Handle(w.souls[i].machine.now, Heard{name, life}) }, "%s%d hears %s%d", s.name, s.machine.set.Life, name, life)
+				}
+			} else if known {
+				add(func(w *world) {
+					w.souls[i].machine.Handle(w.souls[i].machine.now, Suspected{name, life, w.souls[i].name})
+				}, "%s%d suspects %s%d", s.name, s.machine.set.Life, name, life)
+				add(func(w *world) { w.souls[i].machine.Handle(w.souls[i].machine.now, Failed{name, life}) }, "%s%d gives %s%d up", s.name, s.machine.set.Life, name, life)
+			}
+		}
+	}
+	for i, a := range worldNames {
+		for _, b := range worldNames[i+1:] {
+			for _, way := range [][2]string{{a, b}, {b, a}} {
+				if w.cut[way] {
+					add(func(w *world) { delete(w.cut, way) }, "heal %s to %s", way[0], way[1])
+				} else {
+					add(func(w *world) { w.cut[way] = true }, "cut %s to %s", way[0], way[1])
+				}
+			}
+		}
+	}
+	for _, name := range worldNames {
+		last, runs := w.last(name)
+		if w.restarts < 2 && w.roster.Has(name) {
+			// Beside one that runs, too: somebody starts the name a second time.
+			add(func(w *world) { w.restarts++; w.start(name, last.machine.roster) }, "start %s beside %d", name, runs)
+		}
+		switch {
+		case runs == 0 && w.roster.Has(name) && len(w.roster.Members) == 3:
+			add(func(w *world) {
+				w.roster = w.roster.Next(slices.DeleteFunc(slices.Clone(worldNames), func(n string) bool { return n == name }))
+			}, "agree that %s has gone", name)
+		case !w.roster.Has(name) && w.restarts < 2:
+			add(func(w *world) {
+				w.roster = w.roster.Next(worldNames)
+				w.restarts++
+				w.start(name, w.roster)
+			}, "agree that %s belongs, and start it", name)
+		}
+	}
+	return list
+}
+
+// last is the latest process of a name, and how many of it run.
+func (w *world) last(name string) (s *soul, runs int) {
+	for _, o := range w.souls {
+		if o.name == name {
+			s = o
+			if o.running {
+				runs++
+			}
+		}
+	}
+	return s, runs
+}
+
+// broken is the promise that does not hold here; "": all do.
+func (w *world) broken() string {
+	parts := 0.0
+	for _, name := range worldNames {
+		share, holders := 0.0, 0
+		for _, s := range w.souls {
+			if s.name != name || !s.running {
+				continue
+			}
+			m := s.machine
+			share = max(share, 1/float64(m.Share()))
+			// It acts by its own clock, which went on while it slept.
+			if may, _ := m.May(m.now, HoldDuty); may {
+				holders++
+				if s.stalled {
+					return fmt.Sprintf("%s%d sleeps and would find on waking that it may hold a duty", s.name, m.set.Life)
+				}
+				if m.heard <= m.woke {
+					return fmt.Sprintf("%s%d may hold a duty and has heard nobody since it woke", s.name, m.set.Life)
+				}
+				if m.verdict < Majority {
+					return fmt.Sprintf("%s%d may hold a duty while %v", s.name, m.set.Life, m.verdict)
+				}
+			}
+			for _, o := range w.souls {
+				if o.name != name || o == s || !o.running {
+					continue
+				}
+				self := m.fellows[name]
+				knows := m.superseded >= o.machine.set.Life || self != nil && slices.Contains(self.older, older{o.machine.set.Life, true})
+				if may, _ := m.May(m.now, HoldDuty); may && knows {
+					return fmt.Sprintf("%s%d may hold a duty and knows of life %d", s.name, m.set.Life, o.machine.set.Life)
+				}
+			}
+			if m.safe() < len(m.roster.Members) {
+				return fmt.Sprintf("%s%d counts %d, and %d belong", s.name, m.set.Life, m.safe(), len(m.roster.Members))
+			}
+		}
+		parts += share
+	}
+	if parts > 1+1e-9 {
+		return fmt.Sprintf("what all may spend together is %.2f of the quota", parts)
+	}
+	return ""
+}
+
+// search walks all worlds to a depth and returns how many there are, and the first
+// that breaks a promise. Flaw spoils a machine after each step.
+func search(depth int, flaw func(*Machine)) (states int, broke string) {
+	seen := map[string]bool{}
+	layer := []*world{newWorld()}
+	seen[layer[0].key()] = true
+	for range depth {
+		var next []*world
+		for _, w := range layer {
+			for _, st := range w.steps() {
+				c := w.clone()
+				st.do(c)
+				if flaw != nil {
+					for _, s := range c.souls {
+						flaw(s.machine)
+					}
+				}
+				c.trail = append(c.trail, st.what)
+				if why := c.broken(); why != "" {
+					return len(seen), why + " after: " + strings.Join(c.trail, "; ")
+				}
+				if k := c.key(); !seen[k] {
+					seen[k] = true
+					next = append(next, c)
+				}
+			}
+		}
+		layer = next
+	}
+	return len(seen), ""
+}
+
+func TestSearchThreeMembers(t *testing.T) {
+	states, broke := search(*searchDepth, nil)
+	t.Logf("%d states to depth %d", states, *searchDepth)
+	if broke != "" {
+		t.Error(broke)
+	}
+}
--- a/rules/checks_test.go
+++ b/rules/checks_test.go
@@ -28,7 +28,7 @@
 	if change != nil {
 		change(&e)
 	}
-	out := s.answer(d, d.handle(e))
+	out := s.answer(d, d.handle(&e))
 	if got := find[*Checked](out); len(got) == 1 {
 		return *got[0], out
 	}
@@ -252,7 +252,7 @@
 				e := Check{ID: d.nextID, Customer: who, Units: float64(1 + rng.IntN(5)), Gateways: 2, Partial: rng.IntN(2) == 0,
 					Deadline: d.now + rng.Float64()}
 				open[e.ID] = wait{e.Units, e.Deadline}
-				see(d.handle(e))
+				see(d.handle(&e))
 			case 2:
 				d.nextID++
 				see(d.handle(Request{ID: d.nextID, Customer: who, Units: 1, Gateways: 2, Deadline: d.now + 1}))
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -144,9 +144,7 @@
 		g.countedLate(e)
 	case Backends:
 		g.backends(e)
-	case Check:
-		g.check(e)
-	case *Check: // whose storage its sender uses again
+	case *Check: // its sender uses its storage again
 		g.check(*e)
 	case Peek:
 		g.peek(e)
@@ -157,6 +155,8 @@
 		g.gather()
 	case Attach:
 		g.attach(e.Backend)
+	case Fleet:
+		g.divide = e
 	}
 	g.dispatch()
 	return g.out
@@ -815,10 +815,11 @@
 // allowance*(1+leaseShare) + rate*L at most, and twice the first allowance if the counter comes back empty;
 // short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate.
 func (g *Gateway) terms(p *Plan, gateways, index int) terms {
-	n := float64(max(gateways, 1) + g.set.Fronts)
+	n, parts := float64(max(gateways, 1)+g.set.Fronts), g.parts(gateways)
 	t := terms{rate: p.Rate, allowance: p.Burst, first: p.Burst / n, exact: n <= exactMost,
-		localRate: p.Rate / n, localBurst: max(p.Burst/n, 1), ceiling: p.CeilingRate > 0, places: p.MaxConcurrent,
-		share: (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
+		localRate: p.Rate / parts, localBurst: max(p.Burst/parts, 1), ceiling: p.CeilingRate > 0,
+		places: p.MaxConcurrent,
+		share:  (p.MaxConcurrent + gateways - 1 - index) / max(gateways, 1)} // their sum is the limit
 	if g.wide() {
 		// A whole unit is many times a small store's share. A larger store has as many times its own, in
 		// bounds: all gateways may spend theirs at once while the counter is away.
@@ -828,13 +829,13 @@
 	if p.CeilingRate > 0 {
 		t.rate = min(p.Rate, p.CeilingRate)
 		t.allowance = min(t.allowance, p.CeilingBurst*ceilingLease)
-		t.spare, t.localBurst = t.allowance, (p.CeilingBurst-(2+leaseShare)*t.allowance)/n
+		t.spare, t.localBurst = t.allowance, (p.CeilingBurst-(2+leaseShare)*t.allowance)/parts
 		if t.exact {
 			t.allowance = min(p.Burst, p.CeilingBurst/(1+leaseShare))
 			t.spare = (p.CeilingBurst - (1+leaseShare)*t.allowance) / 2
-			t.localBurst = t.spare / n
+			t.localBurst = t.spare / parts
 		}
-		t.first, t.localRate = t.allowance/n, (p.CeilingRate-t.rate)/n
+		t.first, t.localRate = t.allowance/n, (p.CeilingRate-t.rate)/parts
 	}
 	t.window = windowLen
 	if !t.exact {
@@ -846,7 +847,7 @@
 		if t.places = 0; t.rate == 0 && g.latency > 0 {
 			t.rate = placeUse * float64(p.MaxConcurrent) / g.latency
 			t.window, t.allowance, t.spare = placeWindow, t.rate*placeWindow, t.rate*placeWindow
-			t.first, t.localRate = 1, t.rate/n
+			t.first, t.localRate = 1, t.rate/parts
 		}
 	}
 	return t
--- a/rules/state.go
+++ b/rules/state.go
@@ -25,7 +25,8 @@
 	leastBurst float64 // of the plans' stores
 	servers    map[BackendID]*server
 	detached   map[BackendID]bool // by hand
-	list       []*server          // by id
+	divide     Fleet
+	list       []*server // by id
 	customers  map[CustomerID]*customer
 	roster     []*customer       // by first sight
 	calls      map[uint64][]call // out, by name, in order
@@ -391,6 +392,24 @@
 	return floor
 }
 
+// parts is how many have a part in what a customer may spend while the counter is
+// away. What goes by the counter's own names, such as whether a store is exact, must be the
+// same at all gateways, and rests on the settings alone.
+func (g *Gateway) parts(gateways int) float64 {
+	if g.divide.Share > 0 && gateways >= g.set.Fleet {
+		gateways = g.divide.Share
+	}
+	return float64(max(gateways, 1) + g.set.Fronts)
+}
+
+// senders is how many gateways send to a cold backend.
+func (g *Gateway) senders() float64 {
+	if g.divide.Cold > 0 {
+		return float64(g.divide.Cold)
+	}
+	return float64(max(g.set.Fleet, 1))
+}
+
 // customerOf finds the customer of a request, or begins to keep books on it.
 func (g *Gateway) customerOf(r Request) *customer {
 	c := g.customers[r.Customer]
--- a/rules/types.go
+++ b/rules/types.go
@@ -292,6 +292,13 @@
 // hand mostly restarts it.
 type Attach struct{ Backend BackendID }
 
+// Fleet says how many gateways there are, where that is known better than by the
+// settings.
+type Fleet struct {
+	Share int // what is spent while the counter is away is divided by it, where a customer may come to all gateways
+	Cold  int // that send to a cold backend
+}
+
 // PeerMessage is data from another gateway.
 type PeerMessage struct {
 	From int
@@ -308,11 +315,12 @@
 func (Timer) event()        {}
 func (CounterReply) event() {}
 func (CounterLate) event()  {}
-func (Check) event()        {}
+func (*Check) event()       {}
 func (Peek) event()         {}
 func (Give) event()         {}
 func (Detach) event()       {}
 func (Attach) event()       {}
+func (Fleet) event()        {}
 func (PeerMessage) event()  {}
 
 // Action is one thing for the gateway to do.
