Play the lab with gateways that know each other, on ways that can be cut one by one

Cause: what members do when some are cut off, slow or asleep shows only among several processes of the program.

Change: the lab starts elderyard-peers with a way of its own between each two gateways and in each direction (standin/ways: cut, loss, delay, twice, out of order), ten faults of those ways and a starved process, a second process under one name, rosters that change. It records every gateway's picture; the auditor rules on the records alone by six rules, each seen to be broken by a planted flaw.

--- a/internal/lab/audit/verdict.go
+++ b/internal/lab/audit/verdict.go
@@ -82,6 +82,8 @@
 	Counts    Counts    `json:"counts"`
 	Late      []string  `json:"late,omitempty"`
 	Lost      int       `json:"lost_records"`
+	// Members is of a site whose gateways know each other; else nil.
+	Members *MembersVerdict `json:"members,omitempty"`
 }
 
 // Counts are plain sums over a run.
--- a/internal/lab/binary.go
+++ b/internal/lab/binary.go
@@ -14,18 +14,21 @@
 
 const (
 	gatewayName = "elderyard"
+	peersName   = "elderyard-peers" // the gateway that knows the others of its site
 	buildLimit  = 5 * time.Minute
 )
 
 var built struct {
 	sync.Mutex
-	path string // of the program that was built for this process
+	dir string // of the programs that were built for this process
 }
 
 // FindGateway returns the gateway's program: the one at path, else the one
 // beside this program, else one built from the checkout that the working folder
 // is in.
-func FindGateway(path string) (found string, err error) {
+func FindGateway(path string) (found string, err error) { return findProgram(path, gatewayName) }
+
+func findProgram(path, name string) (found string, err error) {
 	if path != "" {
 		if info, err := os.Stat(path); err != nil || info.IsDir() {
 			return "", fmt.Errorf("gateway: %s is no program", path)
@@ -33,49 +36,51 @@
 		return filepath.Abs(path)
 	}
 	if self, err := os.Executable(); err == nil {
-		beside := filepath.Join(filepath.Dir(self), gatewayName)
+		beside := filepath.Join(filepath.Dir(self), name)
 		if info, err := os.Stat(beside); err == nil && !info.IsDir() {
 			return beside, nil
 		}
 	}
-	return build()
+	return build(name)
 }
 
-func build() (string, error) {
+func build(name string) (string, error) {
 	built.Lock()
 	defer built.Unlock()
-	if _, err := os.Stat(built.path); built.path != "" && err == nil {
-		return built.path, nil
+	if built.dir != "" {
+		out := filepath.Join(built.dir, name)
+		if _, err := os.Stat(out); err == nil {
+			return out, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
 	defer cancel()
 	mod, err := exec.CommandContext(ctx, "go", "env", "GOMOD").Output()
 	root := filepath.Dir(strings.TrimSpace(string(mod)))
-	if _, missing := os.Stat(filepath.Join(root, "cmd", gatewayName)); err != nil || missing != nil {
+	if _, missing := os.Stat(filepath.Join(root, "cmd", name)); err != nil || missing != nil {
 		return "", errors.New("gateway: none beside this program, and the working folder is in no checkout to build it from; name one with --gateway")
 	}
-	dir, err := makeDir()
-	if err != nil {
-		return "", err
+	if _, err := os.Stat(built.dir); built.dir == "" || err != nil {
+		if built.dir, err = makeDir(); err != nil {
+			return "", err
+		}
 	}
-	out := filepath.Join(dir, gatewayName)
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "./cmd/"+gatewayName)
+	out := filepath.Join(built.dir, name)
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "./cmd/"+name)
 	cmd.Dir = root
 	if text, err := cmd.CombinedOutput(); err != nil {
-		os.RemoveAll(dir)
 		return "", fmt.Errorf("gateway: go build: %w: %s", err, text)
 	}
-	built.path = out
 	return out, nil
 }
 
-// RemoveBuilt deletes the program that was built for this process, if any. It
+// RemoveBuilt deletes the programs that were built for this process, if any. It
 // belongs at the end of main, or of TestMain.
 func RemoveBuilt() {
 	built.Lock()
 	defer built.Unlock()
-	if built.path != "" {
-		os.RemoveAll(filepath.Dir(built.path))
-		built.path = ""
+	if built.dir != "" {
+		os.RemoveAll(built.dir)
+		built.dir = ""
 	}
 }
--- a/internal/lab/fault.go
+++ b/internal/lab/fault.go
@@ -39,6 +39,7 @@
 	onExport   scope = "collector"
 	onPlan     scope = "plan"
 	onClients  scope = "clients"
+	onPeers    scope = "ways between gateways"
 )
 
 // kind is one kind of fault.
@@ -98,6 +99,18 @@
 		{name: "collector-gone", scope: onExport, whole: true, need: true, about: "the collector of stories and metrics is dead: connections are refused", apply: collectorGone},
 		{name: "collector-silent", scope: onExport, whole: true, need: true, about: "the collector takes what is sent and never answers", apply: collectorSilent},
 
+		{name: "gateway-starve", scope: onGateway, need: true, about: "the process gets hardly any time on a core: it is stopped again and again for a moment", size: 0.8, least: 0.1, most: 0.98, unit: "share of the time", apply: gatewayStarve},
+
+		{name: "peers-cut", scope: onPeers, need: true, about: "the targets and the other gateways don't hear each other; each part goes on by itself", apply: peersCut},
+		{name: "peers-apart", scope: onPeers, need: true, about: "each target hears no gateway at all, and none hears it", apply: peersApart},
+		{name: "peers-deaf", scope: onPeers, need: true, about: "the targets hear no other gateway; the others hear them", apply: peersDeaf},
+		{name: "peers-mute", scope: onPeers, need: true, about: "no other gateway hears the targets; they hear the others", apply: peersMute},
+		{name: "peers-ring", scope: onPeers, need: true, whole: true, about: "each gateway and its two neighbours by number hear each other, and nobody else", apply: peersRing},
+		{name: "peers-flap", scope: onPeers, need: true, about: "the targets are cut off and back, again and again", size: 1, least: 0.1, most: 5, unit: "times a second", apply: peersFlap},
+		{name: "peers-loss", scope: onPeers, need: true, about: "datagrams to and from the targets are lost", size: 0.3, least: 0, most: 1, unit: "share of datagrams", apply: peersTrouble},
+		{name: "peers-late", scope: onPeers, need: true, about: "what goes to and from the targets is late", size: 500, least: 1, most: 10000, unit: "ms", apply: peersTrouble},
+		{name: "peers-muddle", scope: onPeers, need: true, about: "datagrams to and from the targets come twice, and in another order", size: 0.3, least: 0, most: 1, unit: "share of datagrams", apply: peersTrouble},
+
 		{name: "surge", scope: onPlan, whole: true, need: true, about: "all accounts of one plan ask for more; drawn into the timeline, so not to be switched live", size: 4, least: 1, most: 50, unit: "times as much"},
 		{name: "bad-clients", scope: onClients, whole: true, about: "clients that send what no gateway should take", size: 6, least: 1, most: 200, unit: "clients", apply: badClients},
 	}
@@ -162,6 +175,8 @@
 		return wrong("plan", "%s strikes no plan", f.Kind)
 	case k.scope == onPlan && planIndex(f.Plan) < 0:
 		return wrong("plan", "there is no plan %q", f.Plan)
+	case k.scope == onPeers && !s.Peers:
+		return wrong("kind", "%s needs a site whose gateways know each other (peers)", f.Kind)
 	case k.scope == onExport && !s.Export:
 		return wrong("kind", "%s needs a site that exports", f.Kind)
 	case k.once && f.For != 0:
@@ -405,11 +420,11 @@
 	for _, t := range targets {
 		g := l.gateways[t]
 		end := l.excuse(g, "stopped")
-		if err := g.signal(sigStop, Stopped); err != nil {
+		if err := l.pause(g, true); err != nil {
 			return nil, err
 		}
 		undo = append(undo, func() error {
-			err := g.signal(sigCont, Serving)
+			err := l.pause(g, false)
 			// What it held when it woke is excused; what comes once it has caught up is not.
 			l.wg.Go(func() {
 				wait.For(l.ctx, wakeGrace)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -62,8 +62,10 @@
 	registry *registry.Registry
 	// collector takes what gateways export; nil: they export nothing.
 	collector *collector.Collector
-	agents    []*agentProcess // of a fleet, each with the gateway of its place
-	keeper    *os.File        // while it is open, the lab lives
+	fellows   *fellows          // nil: the gateways do not know each other
+	twins     []*gatewayProcess // second processes under the names of gateways
+	agents    []*agentProcess   // of a fleet, each with the gateway of its place
+	keeper    *os.File          // while it is open, the lab lives
 
 	counterTroubles troubles[counter.Trouble]
 
@@ -149,7 +151,11 @@
 	if err != nil {
 		return nil, err
 	}
-	binary, err := FindGateway(site.Gateway)
+	program := gatewayName
+	if site.Peers {
+		program = peersName
+	}
+	binary, err := findProgram(site.Gateway, program)
 	if err != nil {
 		return nil, err
 	}
@@ -170,6 +176,11 @@
 	l.wg.Go(func() { l.watchClock(l.ctx) })
 	l.wg.Go(func() { l.watchProcesses(l.ctx) })
 	l.wg.Go(func() { l.watchFalls(l.ctx) })
+	if site.Peers {
+		if err := l.openFellows(); err != nil {
+			return nil, err
+		}
+	}
 	if site.fleet != nil {
 		if err := l.openFleet(); err != nil {
 			return nil, err
@@ -178,7 +189,7 @@
 	}
 	var starts sync.WaitGroup
 	failed := make([]error, len(l.gateways))
-	for i, g := range l.gateways {
+	for i, g := range l.gateways[:len(l.gateways)-site.Absent] {
 		starts.Go(func() { failed[i] = l.startGateway(l.ctx, g) })
 	}
 	starts.Wait()
@@ -350,7 +361,10 @@
 	l.done.Do(func() {
 		l.cancel()
 		l.closeFleet()
-		for _, g := range l.gateways {
+		l.mu.Lock()
+		ours := slices.Concat(l.gateways, l.twins)
+		l.mu.Unlock()
+		for _, g := range ours {
 			if err := l.killGateway(g); err != nil && !errors.Is(err, errNotRunning) && !errors.Is(err, os.ErrProcessDone) {
 				l.site.Log("%v", err)
 			}
@@ -373,8 +387,11 @@
 		if l.collector != nil {
 			l.collector.Close()
 		}
+		if l.fellows != nil {
+			l.fellows.ways.Close()
+		}
 		l.wg.Wait()
-		for _, g := range l.gateways { // one may have been on its way up
+		for _, g := range ours { // one may have been on its way up
 			l.killGateway(g)
 		}
 		l.spawn.close()
@@ -520,7 +537,12 @@
 	l.mu.Unlock()
 	// What came before the load began is no matter of its rules.
 	log.Late = after(log.Late, log.From)
-	return audit.Judge(l.site.rules(), log)
+	v := audit.Judge(l.site.rules(), log)
+	if l.fellows != nil {
+		v.Members = audit.JudgeMembers(l.memberRules(), l.fellows.read())
+		v.Findings = append(v.Findings, v.Members.Findings...)
+	}
+	return v
 }
 
 func after(list []audit.Window, from time.Time) (kept []audit.Window) {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -57,6 +57,8 @@
 	mu      sync.Mutex
 	address string
 	limits  string // where it takes limit commands; "": nowhere
+	desk    string // where operators call; "": nowhere
+	peers   string // where the others of its site find it; "": nowhere
 	state   State
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
@@ -155,6 +157,9 @@
 		cmd = exec.Command(l.binary)
 		cmd.Env = append(os.Environ(), "EDGE_NAME="+g.name, "EDGE_LISTEN="+g.address, "EDGE_DISCOVERY="+l.discoveryOf(g),
 			"EDGE_CONFIG="+g.configPath(), "TMPDIR="+g.dir)
+		if g.desk != "" {
+			cmd.Env = append(cmd.Env, "EDGE_OPERATOR="+g.desk)
+		}
 		cmd.Env = append(append(cmd.Env, operators...), l.site.env...)
 	}
 	cmd.Dir = g.dir
@@ -167,11 +172,13 @@
 	g.cmd, g.exited, g.state, g.asked = cmd, exited, Starting, false
 	g.starts++
 	g.mu.Unlock()
+	l.happened(audit.Started, g.name, nil)
 	l.wg.Go(func() {
 		err := cmd.Wait()
 		g.mu.Lock()
 		g.usage.bank(cmd.ProcessState)
 		g.state = Dead
+		l.happened(audit.Ended, g.name, nil)
 		crashed := !g.asked
 		if crashed {
 			g.died = fmt.Sprintf("ended by itself (%v): %s", err, output.Telling(g.output.String()))
@@ -245,6 +252,16 @@
 	return nil
 }
 
+// pause stops a process, or wakes it.
+func (l *Lab) pause(g *gatewayProcess, stopped bool) error {
+	if stopped {
+		l.happened(audit.Slept, g.name, nil)
+		return g.signal(sigStop, Stopped)
+	}
+	defer l.happened(audit.Woke, g.name, nil)
+	return g.signal(sigCont, Serving)
+}
+
 // killGateway ends a gateway at once and waits for its end.
 func (l *Lab) killGateway(g *gatewayProcess) error {
 	if err := g.signal(syscall.SIGKILL, ""); err != nil {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -37,6 +37,8 @@
 	Takes      float64         `toml:"takes" doc:"share of what accounts ask for that comes as limit commands over RESP, 0 to 1; else none"`
 	Store      string          `toml:"store" doc:"the shared counter: http, or resp for a store that speaks RESP; else http"`
 	Export     bool            `toml:"export" doc:"a collector takes all stories and metrics of the gateways by OTLP; else none"`
+	Peers      bool            `toml:"peers" doc:"the gateways know each other, every pair by a way of its own; else they do not"`
+	Every      strict.Duration `toml:"every" doc:"between a gateway's probes of the others; else 500ms"`
 	Honour     float64         `toml:"honour" doc:"share of clients that wait as Retry-After says; else 0.7; -1: none"`
 	Ceiling    float64         `toml:"ceiling" doc:"hard ceiling of every account, in times its quota; else none"`
 	Overshoot  float64         `toml:"overshoot" doc:"so much an account may go over its quota, in percent of its burst; else 200"`
@@ -79,7 +81,8 @@
 func (s *Scenario) Site() Site {
 	site := Site{Gateways: s.Gateways, Nodes: s.Nodes, Cells: s.Cells, Rate: s.Rate, Busy: s.Busy, For: time.Duration(s.For), Seed: s.Seed,
 		MemoryMB: s.MemoryMB, Sockets: s.Sockets, Greedy: s.Greedy, Honour: s.Honour, Ceiling: s.Ceiling, Overshoot: s.Overshoot,
-		SpareUnits: s.SpareUnits, GreedyIn: s.GreedyIn, Takes: s.Takes, Store: s.Store, Export: s.Export}
+		SpareUnits: s.SpareUnits, GreedyIn: s.GreedyIn, Takes: s.Takes, Store: s.Store, Export: s.Export,
+		Peers: s.Peers, Every: time.Duration(s.Every)}
 	for _, f := range s.Faults {
 		site.Faults = append(site.Faults, Fault{Kind: f.Kind, At: time.Duration(f.At), For: time.Duration(f.For), Targets: f.Targets,
 			Share: f.Share, Size: f.Size, Plan: f.Plan})
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -35,9 +35,13 @@
 	Takes    float64 // share of what accounts ask for that comes as limit commands, over RESP
 	Store    string  // the shared counter: "http", the platform's, or "resp"
 	Export   bool    // a collector takes the gateways' stories, all of them, and metrics
-	Moments  string  // folder for the gateways' counts of short spans; "": none
-	Honour   float64 // share of clients that wait as Retry-After says; below 0: none
-	Ceiling  float64 // hard ceiling on every plan, in times its quota; 0: none
+	Peers    bool    // the gateways know each other
+	// Every is between a gateway's probes of the others.
+	Every   time.Duration
+	Absent  int     // of the last gateways, not started at first, and not in the first roster
+	Moments string  // folder for the gateways' counts of short spans; "": none
+	Honour  float64 // share of clients that wait as Retry-After says; below 0: none
+	Ceiling float64 // hard ceiling on every plan, in times its quota; 0: none
 
 	Overshoot  float64 // of a quota that is let pass, in percent of the account's burst
 	SpareUnits float64 // and so many units
@@ -61,6 +65,7 @@
 	DefaultRate     = 95
 	DefaultFor      = 20 * time.Second
 	DefaultBusy     = 0.65
+	DefaultEvery    = 500 * time.Millisecond
 	// Each gateway may spend a lease long after it was granted, and all of an
 	// account's leases come to its burst at most; where a window of the counter
 	// ends, the store begins full. So this much is the design's own.
@@ -100,6 +105,7 @@
 	set(&s.MemoryMB, 96)
 	set(&s.Sockets, 1024)
 	set(&s.Honour, defaultHonour)
+	set(&s.Every, DefaultEvery)
 	set(&s.Overshoot, DefaultOvershoot)
 	set(&s.SpareUnits, DefaultSpareUnits)
 	set(&s.GreedyIn, planShapes[0].name)
@@ -132,6 +138,10 @@
 	switch {
 	case s.Gateways < 1 || s.Gateways > mostGateways:
 		return wrong("gateways", "%d is not between 1 and %d", s.Gateways, mostGateways)
+	case s.Absent < 0 || s.Absent >= s.Gateways || s.Absent > 0 && !s.Peers:
+		return wrong("absent", "%d of %d gateways; it needs peers", s.Absent, s.Gateways)
+	case s.Every < 100*time.Millisecond || s.Every > 10*time.Second:
+		return wrong("every", "%v is not between 100ms and 10s", s.Every)
 	case s.Nodes < 1 || s.Nodes > mostNodes:
 		return wrong("nodes", "%d is not between 1 and %d", s.Nodes, mostNodes)
 	case s.Gateways*s.Nodes > mostProduct:
@@ -305,7 +315,7 @@
 
 // operators is the operator's file of a gateway that takes limit commands at an
 // address and exports to another; it is empty where all is as by default.
-func (s *Site) operators(limits, collector string) []byte {
+func (s *Site) operators(limits, collector string, peers object) []byte {
 	file := s.shared(0)
 	if collector != "" {
 		file["telemetry"] = object{"endpoint": "http://" + collector, "share": 1.0, "interval": exportEvery.String(), "timeout": "2s", "queue_kb": exportQueueKB}
@@ -316,6 +326,9 @@
 	if limits != "" {
 		file["resp"] = object{"listen": limits, "most_clients": mostTakers}
 	}
+	if peers != nil {
+		s.withPeers(file, peers)
+	}
 	text, err := toml.Marshal(file)
 	if err != nil {
 		panic(err) // it is made of nothing that could fail
@@ -323,6 +336,12 @@
 	return text
 }
 
+// withPeers adds to an operator's file what a gateway needs to know the others.
+func (s *Site) withPeers(file object, p object) {
+	p["every"], p["site"] = s.Every.String(), "lab"
+	file["peers"] = p
+}
+
 // shared is what all processes of the site have in their operator's files. Fronts
 // grant units beside the gateways.
 func (s *Site) shared(fronts int) object {
--- a/internal/lab/takers.go
+++ b/internal/lab/takers.go
@@ -75,7 +75,7 @@
 	if l.collector != nil && (g.rank == 0 || !l.site.bench) { // a measurement's second gateway is the one that does not
 		collector = l.collector.Address(g.name)
 	}
-	text := l.site.operators(g.limits, collector)
+	text := l.site.operators(g.limits, collector, l.peersOf(g))
 	g.mu.Unlock()
 	if len(text) == 0 {
 		return nil, nil
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -244,7 +244,9 @@
 		return nil, errEnded
 	default:
 	}
-	conn, err := net.DialTimeout("tcp", t.address(a), min(within, streamFor))
+	// From the address of its own, as datagrams go: others may tell members by that.
+	from := net.Dialer{Timeout: min(within, streamFor), LocalAddr: &net.TCPAddr{IP: t.tcp.Addr().(*net.TCPAddr).IP}}
+	conn, err := from.Dial("tcp", t.address(a))
 	if err != nil {
 		return nil, fmt.Errorf("peer: %w", err)
 	}
--- a/members/picture.go
+++ b/members/picture.go
@@ -1,5 +1,10 @@
 package members
 
+import (
+	"fmt"
+	"slices"
+)
+
 // State is what is known of one life.
 type State int
 
@@ -22,6 +27,26 @@
 // MarshalText writes the verdict's name.
 func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
 
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("%.20q is no state", text)
+	}
+	*s = State(i)
+	return nil
+}
+
+// UnmarshalText reads a verdict's name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	i := slices.Index(verdictNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("%.20q is no verdict", text)
+	}
+	*v = Verdict(i)
+	return nil
+}
+
 // View is what a picture says of one name.
 type View struct {
 	Name    string `json:"name"`
