Show what gateways believe of each other: elderctl peers list, view, diff, why, watch

Cause: where gateways disagree about each other, an operator must see whose picture differs, and on what evidence.

Change: members.Differences compares pictures; internal/peers asks one gateway at its operators' address and finds the others by what it knows. Ages are by each gateway's own clock, so clocks that differ do no harm. Status 9: pictures differ or some did not answer.

--- a/cmd/elderctl/main.go
+++ b/cmd/elderctl/main.go
@@ -26,13 +26,15 @@
 	exitConflict    = 6   // another change came first
 	exitPartly      = 7   // done, and some are silent or have yet to take it
 	exitUnreachable = 8   // no agent or leader answers, or it is not known whether a change was taken
+	exitDiffer      = 9   // gateways' pictures of each other differ
 	exitInterrupted = 130 // by SIGINT or SIGTERM; all that was started has ended
 )
 
 const exitHelp = `
 Exit status: 0 all went well, 1 the tool could not do it, 2 wrong usage or a
 wrong file (nothing was started), 3 a rule was broken, 4 the machine ran late
-and there is no verdict, 5 to 8 see the fleet's verbs, 130 interrupted.`
+and there is no verdict, 5 to 8 see the fleet's verbs, 9 see
+'elderctl peers', 130 interrupted.`
 
 // exitError is an error with the status that the tool ends with.
 type exitError struct {
@@ -73,7 +75,7 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(labCommand(), traceCommand(), siteCommand(), reverseProxyCommand(), keeperCommand())
+	root.AddCommand(labCommand(), traceCommand(), siteCommand(), peersCommand(), reverseProxyCommand(), keeperCommand())
 	root.AddCommand(fleetCommands()...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
--- /dev/null
+++ b/cmd/elderctl/peers_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"linnetbend/internal/lab"
+	"linnetbend/internal/peers"
+	"linnetbend/members"
+)
+
+// Three real gateways: what the tool says of them whole, cut off and with one dead.
+func TestPeers(t *testing.T) {
+	t.Parallel()
+	l := lab.Start(t, lab.Site{Gateways: 3, Nodes: 1, Peers: true, Every: 200 * time.Millisecond, For: time.Minute})
+	at, err := l.Desk("g0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	until := func(what string, want int, args ...string) (out string) {
+		t.Helper()
+		var status int
+		var errs string
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			if status, out, errs = tool(t, append([]string{"peers", "--at", at}, args...)...); status == want && strings.Contains(out, what) {
+				return out
+			}
+		}
+		t.Fatalf("%v: status %d, want %d and %q:\n%s%s", args, status, want, what, out, errs)
+		return ""
+	}
+	until("the pictures of 3 gateways are one", exitOK, "diff")
+	if out := until("whole", exitOK, "list"); strings.Count(out, "whole") != 3 {
+		t.Errorf("%s", out)
+	}
+	if out := until("g1 of site lab", exitOK, "view", "g1"); !strings.Contains(out, "3 of 3 are heard") || strings.Contains(out, "may not") {
+		t.Errorf("%s", out)
+	}
+	var all []peers.Asked
+	if err := json.Unmarshal([]byte(until("", exitOK, "list", "--json")), &all); err != nil || len(all) != 3 || all[2].Answer.Picture.Verdict != members.Whole {
+		t.Errorf("%v: %+v", err, all)
+	}
+	if err := l.Fault(lab.Fault{Kind: "peers-cut", Targets: []string{"g2"}, For: 15 * time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	out := until("g2: a way between gateways is cut", exitDiffer, "diff")
+	if !strings.Contains(out, "g0 g1: not there") {
+		t.Errorf("%s", out)
+	}
+	if out := until("did not answer a probe", exitDiffer, "why", "g2"); !strings.Contains(out, "its silence has lasted") {
+		t.Errorf("%s", out)
+	}
+	until("the pictures of 3 gateways are one", exitOK, "diff")
+	if err := l.Kill("g1"); err != nil {
+		t.Fatal(err)
+	}
+	until("g1 gone", exitDiffer, "list")
+	// Nobody is there to be asked.
+	at, err = l.Desk("g1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	until("", exitUnreachable, "diff")
+}
+
+func TestPeersUsage(t *testing.T) {
+	for _, c := range []struct {
+		says string
+		args []string
+	}{
+		{"--at", []string{"list"}},
+		{"not an address with a port", []string{"list", "--at", "nowhere"}},
+		{"a name has", []string{"why", "a b", "--at", "127.0.0.1:1"}},
+		{"name what to do", []string{}},
+		{"accepts 1 arg", []string{"why", "--at", "127.0.0.1:1"}},
+	} {
+		if status, _, errs := tool(t, append([]string{"peers"}, c.args...)...); status != exitUsage || !strings.Contains(errs, c.says) {
+			t.Errorf("%v: status %d: %s", c.args, status, errs)
+		}
+	}
+}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -380,3 +380,12 @@
 	}
 	return l.pause(g, stopped)
 }
+
+// Desk is where the operators of a gateway call.
+func (l *Lab) Desk(name string) (string, error) {
+	g, err := l.gateway(name)
+	if err != nil {
+		return "", err
+	}
+	return g.desk, nil
+}
