--- a/cmd/elderyard/main_test.go
+++ b/cmd/elderyard/main_test.go
@@ -109,7 +109,12 @@
 	if err := os.WriteFile(path, []byte("[clients]\nsocket_shaer = 0.5\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	peers := filepath.Join(t.TempDir(), "peers.toml")
+	if err := os.WriteFile(peers, []byte("[peers]\nlisten = '127.0.0.1:1'\nsite = 's'\nkey_file = 'k'\ndir = 'd'\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for file, says := range map[string]string{
+		peers:           "elderyard: operator's file: peers.listen: this program knows no other gateways; elderyard-peers does",
 		path:            "elderyard: " + path + `:2: clients.socket_shaer: there is no such key; did you mean "socket_share"?`,
 		path + ".other": "elderyard: operator's file: ",
 	} {
--- a/internal/lab/members_test.go
+++ b/internal/lab/members_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -132,6 +134,15 @@
 	c.must(c.Start(t.Context(), "g1"))
 	c.becomes(members.Whole, c.names()...)
 	c.kept(audit.RuleFailed, audit.RuleSafe)
+	desk, err := c.Desk("g0")
+	c.must(err)
+	resp, err := http.Get("http://" + desk + "/_ready")
+	c.must(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if c.must(err); !strings.Contains(string(text), "peers: whole for") || !strings.Contains(string(text), "5 of 5 are heard") {
+		t.Errorf("readiness says %q", text)
+	}
 }
 
 func TestMembersParted(t *testing.T) {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+func TestPeersErrorsNameTheLine(t *testing.T) {
+	whole := "[peers]\nlisten = '127.0.0.1:7000'\nsite = 'north'\nkey_file = 'k'\ndir = 'd'\n"
+	if s, err := Parse("site.toml", []byte(whole+"seeds = ['g1', '127.0.0.2:7000']\n[[peers.reach]]\nname = 'g1'\naddress = '127.0.0.3:1'\n")); err != nil || s.Peers.Site != "north" || len(s.Peers.Reach) != 1 {
+		t.Fatalf("%+v %v", s.Peers, err)
+	}
+	for text, want := range map[string]string{
+		"[peers]\nlisten = '127.0.0.1:7000'\n":                     "site.toml:1: peers.site: it is needed with listen",
+		strings.Replace(whole, "127.0.0.1:7000", "localhost:1", 1): `site.toml:2: peers.listen: "localhost:1" is not an IP address with a port`,
+		strings.Replace(whole, "7000", "0", 1):                     "site.toml:2: peers.listen",
+		strings.Replace(whole, "7000", "70000", 1):                 "site.toml:2: peers.listen",
+		strings.Replace(whole, "'k'", "''", 1):                     "site.toml:4: peers.key_file: it is needed with listen",
+		whole + "every = '1ms'\n":                                  "site.toml:6: peers.every: 1ms is not between 100ms and 10s",
+		whole + "most_kb = 1\n":                                    "site.toml:6: peers.most_kb: 1 is not between 8 and 65536",
+		whole + "seeds = ['g1']\n":                                 `site.toml:6: peers.seeds: "g1" is neither an IP address with a port nor a name that reach has`,
+		whole + "sead = ['g1']\n":                                  `site.toml:6: peers.sead: there is no such key; did you mean "seeds"?`,
+		whole + "[[peers.reach]]\nname = 'a'\naddress = '127.0.0.1:1'\n[[peers.reach]]\nname = 'a'\naddress = '127.0.0.1:1'\n": `site.toml:10: peers.reach[1].name: "a" is empty or stands twice`,
+		whole + "[[peers.reach]]\nname = 'a'\naddress = 'x'\n":                                                                 "site.toml:8: peers.reach[0].address",
+		whole + "site = 'south'\n": "site.toml:6",
+	} {
+		if _, err := Parse("site.toml", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
 func TestEveryKeyIsDocumented(t *testing.T) {
 	if len(Keys()) < 6 {
 		t.Fatal(Keys())
--- a/members/search_test.go
+++ b/members/search_test.go
@@ -24,6 +24,10 @@
 	machine *Machine
 	running bool
 	stalled bool
+
+	// What the world knows of it, whatever its machine makes of that.
+	answered bool // somebody has answered it since it last woke
+	later    bool // it was told of a later life of its name
 }
 
 type world struct {
@@ -92,7 +96,7 @@
 	for _, s := range w.souls {
 		m := s.machine
 		fmt.Fprint(&b, "|", s.name, s.running, s.stalled, m.set.Life, m.roster.Epoch, m.superseded, m.joined, m.share, m.verdict, m.changes,
-			age(m, m.ticked), age(m, m.woke), m.heard > m.woke, age(m, m.changedAt), m.probes)
+			age(m, m.ticked), age(m, m.woke), m.heard > m.woke, age(m, m.changedAt), m.probes, s.answered, s.later)
 		for _, t := range m.allowed {
 			fmt.Fprint(&b, ",", age(m, t))
 		}
@@ -117,6 +121,7 @@
 	m, at := to.machine, to.machine.now
 	r := from.machine.roster
 	for _, l := range from.machine.Lives() {
+		to.later = to.later || l.Name == to.name && l.Life > m.set.Life
 		m.Handle(at, l)
 	}
 	m.Handle(at, RosterTold{r, from.name})
@@ -162,7 +167,7 @@
 			continue
 		}
 		add(func(w *world) {
-			w.souls[i].stalled = true
+			w.souls[i].stalled, w.souls[i].answered = true, false
 			w.souls[i].machine.now += 3 * time.Second
 		}, "stall %s%d", s.name, s.machine.set.Life)
 		if w.restarts < 2 {
@@ -181,7 +186,10 @@
 			if w.both(s, o) {
 				add(func(w *world) { w.gossip(w.souls[k], w.souls[i]); w.gossip(w.souls[i], w.souls[k]) }, "%s%d and %s%d exchange", s.name, s.machine.set.Life, name, life)
 				if known {
-					add(func(w *world) { w.souls[i].machine.Handle(w.souls[i].machine.now, Heard{name, life}) }, "%s%d hears %s%d", s.name, s.machine.set.Life, name, life)
+					add(func(w *world) {
+						w.souls[i].answered = true
+						w.souls[i].machine.Handle(w.souls[i].machine.now, Heard{name, life})
+					}, "%s%d hears %s%d", s.name, s.machine.set.Life, name, life)
 				}
 			} else if known {
 				add(func(w *world) {
@@ -241,7 +249,7 @@
 func (w *world) broken() string {
 	parts := 0.0
 	for _, name := range worldNames {
-		share, holders := 0.0, 0
+		share := 0.0
 		for _, s := range w.souls {
 			if s.name != name || !s.running {
 				continue
@@ -250,26 +258,18 @@
 			share = max(share, 1/float64(m.Share()))
 			// It acts by its own clock, which went on while it slept.
 			if may, _ := m.May(m.now, HoldDuty); may {
-				holders++
 				if s.stalled {
 					return fmt.Sprintf("%s%d sleeps and would find on waking that it may hold a duty", s.name, m.set.Life)
 				}
-				if m.heard <= m.woke {
+				if !s.answered {
 					return fmt.Sprintf("%s%d may hold a duty and has heard nobody since it woke", s.name, m.set.Life)
 				}
 				if m.verdict < Majority {
 					return fmt.Sprintf("%s%d may hold a duty while %v", s.name, m.set.Life, m.verdict)
 				}
 			}
-			for _, o := range w.souls {
-				if o.name != name || o == s || !o.running {
-					continue
-				}
-				self := m.fellows[name]
-				knows := m.superseded >= o.machine.set.Life || self != nil && slices.Contains(self.older, older{o.machine.set.Life, true})
-				if may, _ := m.May(m.now, HoldDuty); may && knows {
-					return fmt.Sprintf("%s%d may hold a duty and knows of life %d", s.name, m.set.Life, o.machine.set.Life)
-				}
+			if may, _ := m.May(m.now, HoldDuty); may && s.later {
+				return fmt.Sprintf("%s%d may hold a duty and was told of a later life", s.name, m.set.Life)
 			}
 			if m.safe() < len(m.roster.Members) {
 				return fmt.Sprintf("%s%d counts %d, and %d belong", s.name, m.set.Life, m.safe(), len(m.roster.Members))
@@ -285,10 +285,10 @@
 
 // search walks all worlds to a depth and returns how many there are, and the first
 // that breaks a promise. Flaw spoils a machine after each step.
-func search(depth int, flaw func(*Machine)) (states int, broke string) {
+func search(from *world, depth int, flaw func(*Machine)) (states int, broke string) {
 	seen := map[string]bool{}
-	layer := []*world{newWorld()}
-	seen[layer[0].key()] = true
+	layer := []*world{from}
+	seen[from.key()] = true
 	for range depth {
 		var next []*world
 		for _, w := range layer {
@@ -315,10 +315,77 @@
 	return len(seen), ""
 }
 
+// settledWorld is one in which all hear each other and are sure of it.
+func settledWorld(t *testing.T) *world {
+	t.Helper()
+	w := newWorld()
+	w.play(t, "time", "a1 and b2 exchange", "b2 and c3 exchange", "a1 and c3 exchange", "a1 hears b2", "b2 hears c3", "c3 hears a1", "time", "time")
+	for _, s := range w.souls {
+		if s.machine.verdict != Whole {
+			t.Fatalf("%s is %v: %s", s.name, s.machine.verdict, s.machine.why)
+		}
+	}
+	w.trail = nil
+	return w
+}
+
+// play takes steps by their names.
+func (w *world) play(t *testing.T, steps ...string) {
+	t.Helper()
+	for _, what := range steps {
+		list := w.steps()
+		i := slices.IndexFunc(list, func(s step) bool { return s.what == what })
+		if i < 0 {
+			var can []string
+			for _, s := range list {
+				can = append(can, s.what)
+			}
+			t.Fatalf("%q can't happen after %v; what can: %v", what, w.trail, can)
+		}
+		list[i].do(w)
+		w.trail = append(w.trail, what)
+	}
+}
+
 func TestSearchThreeMembers(t *testing.T) {
-	states, broke := search(*searchDepth, nil)
-	t.Logf("%d states to depth %d", states, *searchDepth)
-	if broke != "" {
-		t.Error(broke)
+	for _, from := range []*world{newWorld(), settledWorld(t)} {
+		states, broke := search(from, *searchDepth, nil)
+		t.Logf("%d states to depth %d", states, *searchDepth)
+		if broke != "" {
+			t.Error(broke)
+		}
+	}
+}
+
+// Guards that the search shows to be needed: without each, it finds what breaks.
+func TestSearchFindsEachMissingGuard(t *testing.T) {
+	for _, c := range []struct {
+		guard string
+		near  []string // steps that lead near to what breaks
+		flaw  func(*Machine)
+	}{
+		{"a newcomer waits until all know of it", []string{"kill c3", "a1 gives c3 up", "b2 gives c3 up", "agree that c has gone", "a1 reads epoch 2",
+			"agree that c belongs, and start it", "b2 and c4 exchange", "time", "c4 hears b2"}, func(m *Machine) { m.joined = true }},
+		{"a later life is heeded", []string{"start c beside 1"}, func(m *Machine) { m.superseded = 0 }},
+		{"who was given up goes on counting", []string{"cut a to c", "cut b to c"}, func(m *Machine) {
+			for name, f := range m.fellows {
+				if f.state == Gone {
+					m.roster.Members = slices.DeleteFunc(slices.Clone(m.roster.Members), func(o Member) bool { return o.Name == name })
+				}
+			}
+			m.judge()
+		}},
+		{"a sleeper finds out by its clock", nil, func(m *Machine) { m.ticked = m.now }},
+		{"a sleeper trusts nothing until it is answered", []string{"stall a1", "wake a1"}, func(m *Machine) { m.heard = max(m.heard, m.woke+1) }},
+	} {
+		t.Run(c.guard, func(t *testing.T) {
+			w := settledWorld(t)
+			w.play(t, c.near...)
+			if states, broke := search(w, 3, c.flaw); broke == "" {
+				t.Errorf("nothing breaks without it, in %d states", states)
+			} else {
+				t.Logf("after %d states: %s", states, broke)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/rules/divide_test.go
@@ -0,0 +1,55 @@
+package rules
+
+import "testing"
+
+// While the counter is away, what a customer may spend at one gateway is its part by
+// the number that members give, where it may come to all gateways; one that may come
+// to some keeps to their number.
+func TestLocalSharesGoByFleet(t *testing.T) {
+	set := testSettings()
+	set.Fleet = 2
+	for _, c := range []struct {
+		share, gateways int
+		want            float64
+	}{
+		{0, 2, 2}, // by the settings: a burst of 4 over 2
+		{1, 2, 4},
+		{4, 2, 1},
+		{4, 1, 4}, // a customer of one gateway
+		{1 << 30, 2, 1},
+	} {
+		d := start(t, set, some(2)...)
+		if c.share > 0 {
+			d.handle(Fleet{Share: c.share, Cold: 2})
+		}
+		if got := d.g.terms(&set.Plans[0], c.gateways, 0).localBurst; got != c.want {
+			t.Errorf("share by %d, %d gateways: %g units, want %g", c.share, c.gateways, got, c.want)
+		}
+	}
+}
+
+// What names the counter's windows must be the same at all gateways, whatever each
+// believes of the others.
+func TestStoreStaysExactWhateverFleetSays(t *testing.T) {
+	set := testSettings()
+	set.Fleet = 2
+	d := start(t, set, some(2)...)
+	before := d.g.terms(&set.Plans[0], 2, 0)
+	d.handle(Fleet{Share: 1 << 30, Cold: 9})
+	after := d.g.terms(&set.Plans[0], 2, 0)
+	if before.exact != after.exact || before.window != after.window || before.allowance != after.allowance || before.first != after.first {
+		t.Errorf("%+v became %+v", before, after)
+	}
+}
+
+// What a cold backend always gets is divided by the senders that are known.
+func TestColdRoomGoesBySenders(t *testing.T) {
+	d := start(t, testSettings(), some(2)...)
+	if got, want := d.g.senders(), float64(max(testSettings().Fleet, 1)); got != want {
+		t.Errorf("%g senders by the settings, want %g", got, want)
+	}
+	d.handle(Fleet{Share: 7, Cold: 9})
+	if got := d.g.senders(); got != 9 {
+		t.Errorf("%g senders, want 9", got)
+	}
+}
