Have the voters agree on who belongs, and hear from gateways whom they miss

Cause: where agents run, who belongs must be agreed and numbered, not kept in a file on each machine; and the leader learnt of a failed gateway only by its agent's silence.

--- a/cmd/elderctl/status.go
+++ b/cmd/elderctl/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -89,7 +90,16 @@
 			if !i.Heard.IsZero() {
 				heard = s.At.Sub(i.Heard).Round(time.Second).String() + " ago"
 			}
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\n", i.Name, i.Agent, i.Running, dash(state), dash(string(i.Phase)), i.Crashes, heard, i.Why)
+			why := []string{}
+			for _, part := range []string{i.Why, i.Believes} {
+				if part != "" {
+					why = append(why, part)
+				}
+			}
+			if len(i.DoubtedBy) > 0 {
+				why = append(why, "not heard by "+strings.Join(i.DoubtedBy, " "))
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\n", i.Name, i.Agent, i.Running, dash(state), dash(string(i.Phase)), i.Crashes, heard, strings.Join(why, "; "))
 		}
 	})
 }
--- /dev/null
+++ b/fleet/belong_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"reflect"
+	"testing"
+)
+
+func TestRosterIsAgreed(t *testing.T) {
+	var s State
+	apply := func(names ...string) {
+		t.Helper()
+		if _, err := s.Apply(Entry{Belong: &Belong{Names: names}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.Roster().Epoch != 0 {
+		t.Errorf("a new site has epoch %d", s.Roster().Epoch)
+	}
+	apply("g0", "g1")
+	apply("g0", "g1") // again: nothing changes
+	apply("g0", "g1", "g2")
+	apply("g0", "g2")
+	r := s.Roster()
+	if r.Epoch != 3 || len(r.Members) != 2 || r.Members[0].Since != 0 || r.Members[1].Since != 2 {
+		t.Errorf("%+v", r)
+	}
+	text, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var other State
+	if err := other.Restore(text); err != nil || !reflect.DeepEqual(other.Roster(), r) {
+		t.Errorf("after a snapshot: %+v, %v", other.Roster(), err)
+	}
+	for _, bad := range [][]string{{}, {"b", "a"}, {"a", "a"}, {"a b"}} {
+		if _, err := s.Apply(Entry{Belong: &Belong{Names: bad}}); err == nil {
+			t.Errorf("%v was taken", bad)
+		}
+	}
+	if s.Roster().Epoch != 3 {
+		t.Error("what was refused changed the roster")
+	}
+}
+
+// A site without a roster writes the snapshots that it wrote before.
+func TestSnapshotWithoutRosterIsAsBefore(t *testing.T) {
+	var s State
+	text, err := s.Snapshot()
+	if err != nil || string(text) != `{"form":1,"history":`+string(historyOf(t, &s))+`,"rollout":{"new":0,"before":0,"state":"","why":"","by":"","at":"0001-01-01T00:00:00Z"},"agents":null,"drained":null,"events":null}` {
+		t.Errorf("%s, %v", text, err)
+	}
+}
+
+func historyOf(t *testing.T, s *State) []byte {
+	t.Helper()
+	text, err := s.history.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"linnetbend/members"
 	"linnetbend/revisions"
 	"linnetbend/rollout"
 )
@@ -78,6 +79,7 @@
 	Enroll  *Enroll            `json:"enroll,omitempty"`
 	Remove  *Remove            `json:"remove,omitempty"`
 	Drain   *Drain             `json:"drain,omitempty"`
+	Belong  *Belong            `json:"belong,omitempty"`
 	Noted   *Event             `json:"noted,omitempty"` // a change that was made elsewhere, such as to the voters
 }
 
@@ -130,6 +132,7 @@
 	before  *revisions.Revision // of the rollout: it must stay readable however long the history grows
 	agents  map[string]Agent
 	drained map[string]bool
+	roster  members.Roster // epoch 0: none has been agreed on
 	events  []Event
 }
 
@@ -197,7 +200,7 @@
 
 func (e *Entry) check() error {
 	parts := 0
-	for _, set := range []bool{e.Command != nil, e.Turn != nil, e.Enroll != nil, e.Remove != nil, e.Drain != nil, e.Noted != nil} {
+	for _, set := range []bool{e.Command != nil, e.Turn != nil, e.Enroll != nil, e.Remove != nil, e.Drain != nil, e.Belong != nil, e.Noted != nil} {
 		if set {
 			parts++
 		}
@@ -232,6 +235,8 @@
 		return CheckName("agent", e.Remove.Agent)
 	case e.Drain != nil:
 		return CheckName("instance", e.Drain.Instance)
+	case e.Belong != nil:
+		return e.Belong.check()
 	case e.Noted != nil:
 		if len(e.Noted.What)+len(e.Noted.Who) > MostText {
 			return fmt.Errorf("event: longer than %d bytes", MostText)
@@ -286,6 +291,8 @@
 		s.log(e.Remove.At, e.Remove.By, fmt.Sprintf("agent %s was removed with its instances %v", a.Name, a.Instances))
 	case e.Drain != nil:
 		return s.drain(e.Drain), nil
+	case e.Belong != nil:
+		return s.belong(e.Belong), nil
 	case e.Noted != nil:
 		s.log(e.Noted.At, e.Noted.Who, e.Noted.What)
 	}
@@ -403,6 +410,7 @@
 	Before  *revisions.Revision `json:"before,omitempty"`
 	Agents  []Agent             `json:"agents"`
 	Drained []string            `json:"drained"`
+	Roster  *members.Roster     `json:"roster,omitempty"`
 	Events  []Event             `json:"events"`
 }
 
@@ -414,7 +422,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(snapshot{snapshotForm, history, s.rollout, s.before, s.Agents(), slices.Sorted(maps.Keys(s.drained)), s.events})
+	var roster *members.Roster
+	if s.roster.Epoch > 0 {
+		roster = &s.roster
+	}
+	return json.Marshal(snapshot{snapshotForm, history, s.rollout, s.before, s.Agents(), slices.Sorted(maps.Keys(s.drained)), roster, s.events})
 }
 
 // Restore reads what Snapshot wrote in place of this state. What is cut short,
@@ -455,6 +467,12 @@
 			return fmt.Errorf("snapshot: %s", out.Refused)
 		}
 	}
+	if r := shot.Roster; r != nil {
+		if key, err := r.Check(); err != nil {
+			return fmt.Errorf("snapshot: roster: %s: %w", key, err)
+		}
+		next.roster = *r
+	}
 	if len(shot.Events) > MostEvents {
 		return errors.New("snapshot: more events than a state keeps")
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -116,7 +116,7 @@
 		defer a.store.Close()
 		defer wg.Wait() // the lead uses the store
 		defer stop()
-		a.lead = newLead(c.Name, c.Advertise, a.store, time.Duration(c.Timing.Settle), o.Log)
+		a.lead = newLead(c.Name, c.Advertise, a.store, time.Duration(c.Timing.Settle), c.Roster, o.Log)
 		wg.Go(func() { a.lead.run(inner) })
 		if c.ServiceFrom != "" {
 			wg.Go(func() { a.watchService(inner) })
--- /dev/null
+++ b/internal/agent/belong.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"linnetbend/fleet"
+	"linnetbend/internal/files"
+	"linnetbend/internal/peers"
+	"linnetbend/members"
+)
+
+const (
+	rosterFile  = "roster.toml"
+	belongAfter = time.Second // the instances have been the same for so long before they are agreed on
+	mostBelief  = 256         // bytes of what a gateway believes, in a report
+	mostMissing = 64          // names that it does not hear
+)
+
+// ---- at the leader
+
+// belong has the voters agree on who belongs, where that has changed and the
+// instances of the site have been the same for a moment: agents come one by one.
+func (t *term) belong(ctx context.Context) error {
+	if !t.roster {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(t.drained))
+	if !slices.Equal(names, t.belonging) {
+		t.belonging, t.belongingAt = names, time.Now()
+	}
+	if len(names) == 0 || time.Since(t.belongingAt) < belongAfter {
+		return nil
+	}
+	now := t.agreed()
+	if slices.EqualFunc(names, now.Members, func(name string, m members.Member) bool { return name == m.Name }) {
+		return nil
+	}
+	_, err := t.store.Propose(ctx, fleet.Entry{Belong: &fleet.Belong{Names: names, At: time.Now().UTC()}})
+	return err
+}
+
+func (t *term) agreed() (r members.Roster) {
+	t.store.View(func(s *fleet.State) { r = s.Roster() })
+	return r
+}
+
+// rosterFor is what an agent is told of who belongs; nil: it knows, or does not ask.
+func (t *term) rosterFor(r *report) *members.Roster {
+	if !r.Belong {
+		return nil
+	}
+	if now := t.agreed(); now.Epoch > r.Epoch {
+		return &now
+	}
+	return nil
+}
+
+// doubts tells which instances others do not hear, and whom. It is evidence that
+// one has failed, and no proof: nothing is decided by it.
+func (t *term) doubts() map[string][]string {
+	by := map[string][]string{}
+	for name, h := range t.heard {
+		if time.Since(h.at) >= idleSilence {
+			continue
+		}
+		for _, missing := range h.Missing {
+			by[missing] = append(by[missing], name)
+		}
+	}
+	for _, names := range by {
+		slices.Sort(names)
+	}
+	return by
+}
+
+// ---- at each agent
+
+// rosterPath is the file that this agent's gateways read.
+func (c *Config) rosterPath() string { return filepath.Join(c.Dir, rosterFile) }
+
+// rosterEpoch is that of the roster that is kept; 0: none is.
+func (a *Agent) rosterEpoch() uint64 {
+	text, err := os.ReadFile(a.config.rosterPath())
+	if err != nil {
+		return 0
+	}
+	r, err := peers.ParseRoster(a.config.rosterPath(), text)
+	if err != nil {
+		a.log.Error("the roster that is kept can't be read; it is asked for anew", "error", err)
+		return 0
+	}
+	return r.Epoch
+}
+
+// keepRoster writes a roster down for the gateways.
+func (a *Agent) keepRoster(r *members.Roster) {
+	key, err := r.Check()
+	if err != nil {
+		err = fmt.Errorf("%s: %w", key, err)
+	}
+	var text []byte
+	if err == nil {
+		text, err = toml.Marshal(r)
+	}
+	if err == nil {
+		err = files.Replace(a.config.rosterPath(), text, 0o600)
+	}
+	if err != nil {
+		a.log.Error("a roster can't be kept", "epoch", r.Epoch, "error", err)
+		return
+	}
+	a.log.Info("a roster is kept for the gateways", "epoch", r.Epoch, "members", len(r.Members))
+}
+
+// awaitsRoster tells whether gateways can't start for want of a roster.
+func (a *Agent) awaitsRoster() bool {
+	if !a.config.Roster {
+		return false
+	}
+	_, err := os.Stat(a.config.rosterPath())
+	return errors.Is(err, os.ErrNotExist)
+}
+
+// belief is what a gateway says of the others.
+type belief struct {
+	line    string
+	missing []string
+}
+
+// desk is where an instance's operators call, by its environment; "": nowhere.
+func (e *InstanceEntry) desk() string {
+	for _, v := range slices.Backward(e.Env) {
+		if at, is := strings.CutPrefix(v, "EDGE_OPERATOR="); is {
+			return at
+		}
+	}
+	return ""
+}
+
+// believes asks a gateway what it knows of the others. It is asked beside its
+// readiness, and may know nothing.
+func (p *process) believes(ctx context.Context) (b belief) {
+	at := p.entry.desk()
+	if !p.config.Roster || at == "" {
+		return belief{}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+peers.DeskPath, nil)
+	if err != nil {
+		return belief{}
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return belief{}
+	}
+	defer resp.Body.Close()
+	var a peers.Answer
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return belief{}
+	}
+	for _, v := range a.Picture.Members {
+		if v.Belongs && !v.State.There() && len(b.missing) < mostMissing {
+			b.missing = append(b.missing, v.Name)
+		}
+	}
+	b.line = fleet.Short(fmt.Sprintf("%v for %v, epoch %d, heard %v ago", a.Picture.Verdict, (a.Picture.At-a.Picture.Since).Round(time.Second), a.Picture.Epoch,
+		(a.Picture.At-a.Picture.Heard).Round(100*time.Millisecond)), mostBelief)
+	return b
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -32,6 +32,7 @@
 	Plain       bool            `toml:"plain" doc:"listen without TLS; on loopback only, and whoever reaches it is an operator"`
 	Voter       bool            `toml:"voter" doc:"keep the site's desired state; at least one agent must"`
 	Voters      []string        `toml:"voters" doc:"addresses of the site's voters; none: this agent, a voter, founds a site"`
+	Roster      bool            `toml:"roster" doc:"have the voters agree on who belongs to the site, and keep that for gateways that know each other (elderyard-peers); the same at all agents; default false"`
 	Gateway     string          `toml:"gateway" doc:"the gateway's program; default elderyard beside this one"`
 	ServiceFrom string          `toml:"service_from" doc:"URL that answers the site's level of service, a number from 0 to 1, for the rollouts' service_fall; voters read it while they lead"`
 	TLS         TLS             `toml:"tls" doc:"certificates"`
--- a/internal/agent/lead.go
+++ b/internal/agent/lead.go
@@ -35,6 +35,7 @@
 	address string
 	store   *replica.Store
 	settle  time.Duration
+	roster  bool // who belongs is to be agreed on
 	log     *slog.Logger
 	calls   chan leadCall
 }
@@ -58,8 +59,13 @@
 	followed <-chan struct{}   // the same, of what the machine has been told
 	sums     map[uint64]string // checksums of the revisions that are ordered
 	present  fleet.Rollout
-	agents   map[string]fleet.Agent
-	drained  map[string]bool // every instance of the site, and whether it is
+
+	// Who is to belong, and since when that has been the same.
+	belonging   []string
+	belongingAt time.Time
+
+	agents  map[string]fleet.Agent
+	drained map[string]bool // every instance of the site, and whether it is
 }
 
 // heardOf is what the leader knows of an instance.
@@ -68,8 +74,8 @@
 	at time.Time
 }
 
-func newLead(name, address string, s *replica.Store, settle time.Duration, log *slog.Logger) *lead {
-	return &lead{name: name, address: address, store: s, settle: settle, log: log, calls: make(chan leadCall)}
+func newLead(name, address string, s *replica.Store, settle time.Duration, roster bool, log *slog.Logger) *lead {
+	return &lead{name: name, address: address, store: s, settle: settle, roster: roster, log: log, calls: make(chan leadCall)}
 }
 
 // ask has the term do something, and fails where this voter does not lead.
@@ -136,6 +142,9 @@
 			if err := t.event(ctx, rollout.Tick{}, ""); err != nil {
 				return err
 			}
+			if err := t.belong(ctx); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -319,7 +328,7 @@
 			return nil, &refusal{out.Refused}
 		}
 	}
-	answer := &orders{Leader: t.name, Address: t.address, Orders: map[string]order{}}
+	answer := &orders{Leader: t.name, Address: t.address, Orders: map[string]order{}, Roster: t.rosterFor(r)}
 	for _, o := range r.Instances {
 		if _, found := slices.BinarySearch(r.Agent.Instances, o.Name); !found {
 			return nil, &refusal{fmt.Sprintf("agent %s has no instance %s", r.Agent.Name, o.Name)}
@@ -393,8 +402,10 @@
 			phases[i.Name] = i
 		}
 	}
+	doubts := t.doubts()
 	for n := range s.Instances {
 		i := &s.Instances[n]
+		i.DoubtedBy = doubts[i.Name]
 		if h := t.heard[i.Name]; h != nil {
 			i.show(&h.observed, h.at)
 		}
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -19,6 +19,7 @@
 	"linnetbend/internal/document"
 	"linnetbend/internal/files"
 	"linnetbend/internal/output"
+	"linnetbend/internal/peers"
 	"linnetbend/supervise"
 )
 
@@ -66,6 +67,7 @@
 type shown struct {
 	status supervise.Status
 	pid    int
+	belief belief // of the others, at the last look
 }
 
 // kept is what an agent must know of a gateway after its own death.
@@ -181,7 +183,14 @@
 		}
 		if p.pid != 0 && (s == supervise.Starting || s == supervise.Ready) && !p.looking && now.Sub(looked) >= every {
 			looked, p.looking = now, true
-			watch.Go(func() { p.send(ctx, supervise.Health{Ready: p.look(ctx)}) })
+			watch.Go(func() {
+				p.send(ctx, supervise.Health{Ready: p.look(ctx)})
+				if b := p.believes(ctx); b.line != "" {
+					p.mu.Lock()
+					p.shown.belief = b
+					p.mu.Unlock()
+				}
+			})
 		}
 		next := every
 		if due := p.machine.Due(); !due.IsZero() {
@@ -248,7 +257,11 @@
 func (p *process) show() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.shown = shown{p.machine.Status(), p.pid}
+	s := shown{status: p.machine.Status(), pid: p.pid}
+	if p.pid != 0 {
+		s.belief = p.shown.belief
+	}
+	p.shown = s
 }
 
 func (p *process) look(ctx context.Context) bool {
@@ -292,6 +305,9 @@
 	cmd := exec.Command(p.config.Gateway)
 	cmd.Dir = p.dir
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+filepath.Join(p.dir, configFile), "ELDERYARD_SITE="+filepath.Join(p.dir, siteFile))
+	if p.config.Roster {
+		cmd.Env = append(cmd.Env, peers.RosterVariable+"="+p.config.rosterPath())
+	}
 	cmd.Env = append(cmd.Env, p.entry.Env...)
 	// Its output is a file and not a pipe, and its group its own: it must outlive
 	// the agent.
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -17,12 +17,16 @@
 // observe is this agent's report.
 func (a *Agent) observe() report {
 	r := report{Agent: a.self}
+	if a.config.Roster {
+		r.Belong, r.Epoch = true, a.rosterEpoch()
+	}
 	for _, name := range a.self.Instances {
 		s := a.processes[name].peek()
 		o := observed{Name: name, State: s.status.State, Why: s.status.Why, Crashes: s.status.Crashes, PID: s.pid}
 		if s.status.Running != nil && s.pid != 0 {
 			o.Running, o.Content = s.status.Running.Revision, s.status.Running.Content
 		}
+		o.Believes, o.Missing = s.belief.line, s.belief.missing
 		if s.status.Wanted != nil {
 			o.Taking = s.status.Wanted.Revision
 		}
@@ -102,6 +106,12 @@
 
 // obey does what the leader ordered.
 func (a *Agent) obey(ctx context.Context, got *orders) {
+	if got.Roster != nil {
+		a.keepRoster(got.Roster)
+	}
+	if a.awaitsRoster() {
+		return // the next report brings it, and the orders again
+	}
 	for name, o := range got.Orders {
 		p := a.processes[name]
 		if p == nil {
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -5,6 +5,7 @@
 
 	"linnetbend/fleet"
 	"linnetbend/internal/replica"
+	"linnetbend/members"
 	"linnetbend/revisions"
 	"linnetbend/rollout"
 	"linnetbend/supervise"
@@ -41,11 +42,15 @@
 	Drained bool            `json:"drained,omitempty"`
 	Silent  bool            `json:"silent,omitempty"`
 	Heard   time.Time       `json:"heard"` // zero: never by this leader
+
+	Believes  string   `json:"believes,omitempty"`   // what it says of the others, where gateways know each other
+	DoubtedBy []string `json:"doubted_by,omitempty"` // instances that do not hear it: evidence, no proof
 }
 
 // show puts into a status what a report says.
 func (i *InstanceStatus) show(o *observed, at time.Time) {
 	i.Running, i.State, i.Ready, i.Why, i.Crashes, i.PID, i.Heard = o.Running, o.State, o.State == supervise.Ready, o.Why, o.Crashes, o.PID, at.UTC()
+	i.Believes = o.Believes
 	if o.Refused != 0 {
 		i.Why = o.Refusal
 	}
@@ -55,6 +60,8 @@
 type report struct {
 	Agent     fleet.Agent `json:"agent"`
 	Instances []observed  `json:"instances"`
+	Belong    bool        `json:"belong,omitempty"` // it keeps who belongs, as of Epoch
+	Epoch     uint64      `json:"epoch,omitempty"`
 }
 
 // observed is one instance of a report.
@@ -69,6 +76,9 @@
 	PID     int             `json:"pid,omitempty"`
 	Refused uint64          `json:"refused,omitempty"`
 	Refusal string          `json:"refusal,omitempty"`
+
+	Believes string   `json:"believes,omitempty"`
+	Missing  []string `json:"missing,omitempty"` // instances that it does not hear
 }
 
 // orders answer a report.
@@ -77,6 +87,7 @@
 	Address string           `json:"address"`
 	Wait    bool             `json:"wait"` // the leader does not know yet
 	Orders  map[string]order `json:"orders"`
+	Roster  *members.Roster  `json:"roster,omitempty"` // newer than the agent's
 }
 
 // order is what one instance is to run.
