Show by three agents with gateways that the voters' roster reaches all and stays

Cause: the roster of the voters' log had no test with real agents and gateways.

Change: the lab's fleet runs gateways that know each other. Three agents: the roster reaches all gateways, instances tells what each believes, a gateway killed with its agent is doubted by the two others, its removal is epoch 2 everywhere, and a gateway that is killed comes back with that.

--- /dev/null
+++ b/cmd/elderctl/roster_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"linnetbend/internal/agent"
+	"linnetbend/internal/lab"
+	"linnetbend/internal/peers"
+	"linnetbend/members"
+)
+
+// Three agents with a gateway each: the voters agree on who belongs and the gateways
+// have it; a gateway that dies with its agent is doubted by the others; one that is
+// taken out of the site is out of every gateway's roster, and stays so after a start.
+func TestVotersAgreeOnRoster(t *testing.T) {
+	t.Parallel()
+	program, err := lab.FindPeers("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := lab.OpenFleet(t.Context(), lab.Site{Gateways: 3, Nodes: 1, Peers: true, Every: 200 * time.Millisecond, For: time.Minute, Log: t.Logf},
+		lab.Fleet{Voters: 1, Gateway: program, Rollout: map[string]any{"waves": []float64{1}, "most_away": 3, "ready_within": "30s", "soak_for": "1s"},
+			Tool: func(args ...string) *exec.Cmd { return command(context.Background(), args...) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	until := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !is(); time.Sleep(100 * time.Millisecond) {
+			if time.Now().After(end) {
+				out, _ := l.Tool(t.Context(), 0, "instances")
+				t.Fatalf("not within %v: %s\n%s", patience, what, out)
+			}
+		}
+	}
+	believes := func(name string, is func(*peers.Answer) bool) func() bool {
+		return func() bool {
+			a, err := l.Answer(t.Context(), name)
+			return err == nil && is(&a)
+		}
+	}
+	instances := func() (list []agent.InstanceStatus) {
+		out, _ := l.Tool(t.Context(), 0, "instances", "--json")
+		if err := json.Unmarshal([]byte(out), &list); err != nil {
+			t.Logf("%v: %s", err, out)
+		}
+		return list
+	}
+	var epoch uint64
+	for _, name := range []string{"g0", "g1", "g2"} {
+		until(name+" is whole with all three", believes(name, func(a *peers.Answer) bool {
+			epoch = a.Picture.Epoch
+			return a.Picture.Verdict == members.Whole && a.Picture.Belong == 3 && a.Picture.Share == 3
+		}))
+	}
+	until("instances tells what each believes", func() bool {
+		list := instances()
+		return len(list) == 3 && !slices.ContainsFunc(list, func(i agent.InstanceStatus) bool { return !strings.HasPrefix(i.Believes, "whole for") })
+	})
+	if err := l.KillAgent(2); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.KillGateway(2); err != nil {
+		t.Fatal(err)
+	}
+	until("g2 is doubted by those that do not hear it", func() bool {
+		list := instances()
+		return len(list) == 3 && slices.Equal(list[2].DoubtedBy, []string{"g0", "g1"})
+	})
+	for _, name := range []string{"g0", "g1"} {
+		if a, err := l.Answer(t.Context(), name); err != nil || a.Picture.Belong != 3 || a.Picture.Safe != 3 {
+			t.Errorf("%s counts %d of %d: nobody has agreed that g2 left (%v)", name, a.Picture.Safe, a.Picture.Belong, err)
+		}
+	}
+	if out, status := l.Tool(t.Context(), 0, "members", "remove", l.AgentName(2), "--agent-too"); status != 0 {
+		t.Fatalf("status %d: %s", status, out)
+	}
+	for _, name := range []string{"g0", "g1"} {
+		until(name+" has the next epoch", believes(name, func(a *peers.Answer) bool {
+			return a.Picture.Epoch > epoch && a.Picture.Belong == 2 && a.Picture.Share == 2 && a.Picture.Verdict == members.Whole
+		}))
+	}
+	if err := l.KillGateway(1); err != nil {
+		t.Fatal(err)
+	}
+	until("g1 is back with the roster that it had", believes("g1", func(a *peers.Answer) bool {
+		return a.Picture.Epoch > epoch && a.Picture.Belong == 2 && a.Picture.Verdict == members.Whole
+	}))
+}
--- a/internal/lab/binary.go
+++ b/internal/lab/binary.go
@@ -28,6 +28,10 @@
 // is in.
 func FindGateway(path string) (found string, err error) { return findProgram(path, gatewayName) }
 
+// FindPeers returns the program of a gateway that knows the others of its site, as
+// FindGateway does.
+func FindPeers(path string) (found string, err error) { return findProgram(path, peersName) }
+
 func findProgram(path, name string) (found string, err error) {
 	if path != "" {
 		if info, err := os.Stat(path); err != nil || info.IsDir() {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -100,6 +100,10 @@
 			"voters": voters, "gateway": f.Gateway,
 			"timing":   object{"report": "200ms", "heartbeat": "500ms", "settle": "3s", "fetch_within": "6s", "first_pause": "200ms"},
 			"instance": []object{{"name": l.gateways[i].name, "listen": l.gateways[i].address, "env": []string{"TMPDIR=" + l.dir}}}}
+		if l.fellows != nil {
+			file["roster"] = true
+			file["instance"].([]object)[0]["env"] = []string{"TMPDIR=" + l.dir, "EDGE_OPERATOR=" + l.gateways[i].desk}
+		}
 		if a.limits != "" {
 			file["resp"] = object{"listen": a.limits, "most_clients": mostTakers}
 		}
@@ -187,9 +191,15 @@
 	}
 	for i, g := range l.gateways {
 		over := filepath.Join(l.dir, fmt.Sprintf("%s-%s.toml", name, g.name))
-		err := write(over, object{"gateway": object{"discovery": l.discoveryOf(g), "counter": l.counterOf(g), "seed": fmt.Sprintf("%016x", s.Seed<<8|uint64(i)),
-			"settings": object{"rank": i, "locality": i % 2}}})
-		if err != nil {
+		own := object{"gateway": object{"discovery": l.discoveryOf(g), "counter": l.counterOf(g), "seed": fmt.Sprintf("%016x", s.Seed<<8|uint64(i)),
+			"settings": object{"rank": i, "locality": i % 2}}}
+		if p := l.peersOf(g); p != nil {
+			delete(p, "roster") // the agent keeps it
+			table := object{}
+			s.withPeers(table, p)
+			own["site"] = table
+		}
+		if err := write(over, own); err != nil {
 			return "", nil, err
 		}
 		overlays = append(overlays, "--overlay", g.name+"="+over)
