--- /dev/null
+++ b/internal/lab/members_measure_test.go
@@ -0,0 +1,180 @@
+package lab
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"linnetbend/internal/lab/audit"
+	"linnetbend/internal/peers"
+	"linnetbend/internal/standin/ways"
+	"linnetbend/members"
+)
+
+// The figures of the design note. They take minutes and many processes, and rule on
+// nothing but what they count.
+var (
+	measureSizes = flag.String("member-measure", "", "sizes of sites to measure, such as 5,20,50,100")
+	measureEvery = flag.Duration("member-every", time.Second, "between probes of those sites")
+	measureIdle  = flag.Duration("member-idle", 20*time.Second, "idle time that costs are counted over")
+	calmFor      = flag.Duration("member-calm", 0, "count false failures for so long, with 5 % loss and all cores busy")
+	calmCount    = flag.Int("member-calm-count", 20, "gateways of that")
+)
+
+// bare opens a site without load, at the given probe interval.
+func bare(t *testing.T, n int, every time.Duration) *club {
+	t.Helper()
+	return &club{Start(t, Site{Gateways: n, Nodes: 1, Peers: true, Every: every, Seed: 1, For: 30 * time.Minute, Log: func(string, ...any) {}}), t}
+}
+
+// answers are what all gateways but some believe.
+func (c *club) answers(but ...string) (list []peers.Answer) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, name := range c.names() {
+		if slices.Contains(but, name) {
+			continue
+		}
+		all.Go(func() {
+			if a, err := c.Answer(c.t.Context(), name); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				list = append(list, a)
+			}
+		})
+	}
+	all.Wait()
+	return list
+}
+
+// takes waits until all but some believe something, and returns how long that took.
+func (c *club) takes(what string, but []string, is func(*peers.Answer) bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for time.Since(began) < 5*time.Minute {
+		list := c.answers(but...)
+		if len(list) == len(c.names())-len(but) && !slices.ContainsFunc(list, func(a peers.Answer) bool { return !is(&a) }) {
+			return time.Since(began)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("not in five minutes: %s", what)
+	return 0
+}
+
+func TestMembersMeasure(t *testing.T) {
+	if *measureSizes == "" {
+		t.Skip("figures are asked for by -member-measure")
+	}
+	for _, text := range strings.Split(*measureSizes, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(text, func(t *testing.T) { measure(t, n) })
+	}
+}
+
+func measure(t *testing.T, n int) {
+	began := time.Now()
+	c := bare(t, n, *measureEvery)
+	whole := func(a *peers.Answer) bool { return a.Picture.Verdict == members.Whole }
+	c.takes("all are whole", nil, whole)
+	started := time.Since(began)
+
+	cost := func() (sum peers.Traffic, cpu time.Duration, mb float64) {
+		for _, a := range c.answers() {
+			sum.PacketsOut += a.Traffic.PacketsOut
+			sum.BytesOut += a.Traffic.BytesOut
+		}
+		for _, g := range c.gateways {
+			p := g.process()
+			cpu += p.CPU
+			mb = max(mb, p.PeakMB)
+		}
+		return sum, cpu, mb
+	}
+	before, cpuBefore, _ := cost()
+	time.Sleep(*measureIdle)
+	after, cpuAfter, mb := cost()
+	each := float64(n) * measureIdle.Seconds()
+	t.Logf("%d members, probes every %v: whole %v after the first start; each member sends %.1f datagrams and %.0f bytes a second and takes %.2f ms of CPU a second (with the questions about its picture); %.1f MB at most",
+		n, *measureEvery, started.Round(100*time.Millisecond), float64(after.PacketsOut-before.PacketsOut)/each, float64(after.BytesOut-before.BytesOut)/each,
+		float64((cpuAfter-cpuBefore).Microseconds())/1000/each, mb)
+
+	var failed, back []time.Duration
+	for i := range 5 {
+		name := fmt.Sprint("g", (i*7+1)%n)
+		c.must(c.Kill(name))
+		failed = append(failed, c.takes(name+" is given up", []string{name}, func(a *peers.Answer) bool { return !state(a, name).There() }))
+		c.must(c.Start(t.Context(), name))
+		back = append(back, c.takes("all are whole", nil, whole))
+	}
+	least, middle, most := audit.Spread(failed)
+	t.Logf("%d members: a killed one is given up by all after %v, %v, %v (least, middle, most of 5)", n, least.Round(10*time.Millisecond), middle.Round(10*time.Millisecond), most.Round(10*time.Millisecond))
+	least, middle, most = audit.Spread(back)
+	t.Logf("%d members: started again, all are whole after %v, %v, %v", n, least.Round(10*time.Millisecond), middle.Round(10*time.Millisecond), most.Round(10*time.Millisecond))
+
+	heal := c.part(c.names()[:n/2])
+	cut := c.takes("no picture has more than its half", nil, func(a *peers.Answer) bool { return a.Picture.Likely <= (n+1)/2 })
+	c.must(heal())
+	t.Logf("%d members: halves know it %v after the cut, all are whole %v after the heal", n, cut.Round(10*time.Millisecond), c.takes("all are whole", nil, whole).Round(10*time.Millisecond))
+
+	third := c.names()[:max(n/3, 1)]
+	for _, name := range third {
+		c.must(c.Kill(name))
+	}
+	began = time.Now()
+	var starts sync.WaitGroup
+	for _, name := range third {
+		starts.Go(func() { c.Start(t.Context(), name) })
+	}
+	starts.Wait()
+	c.takes("all are whole", nil, whole)
+	t.Logf("%d members: a third restarted in one instant, all are whole after %v", n, time.Since(began).Round(10*time.Millisecond))
+}
+
+// Ten minutes and more with all cores busy and one datagram in twenty lost: nobody
+// that runs is given up.
+func TestMembersNoFalseFailure(t *testing.T) {
+	if *calmFor == 0 {
+		t.Skip("asked for by -member-calm")
+	}
+	c := bare(t, *calmCount, *measureEvery)
+	c.takes("all are whole", nil, func(a *peers.Answer) bool { return a.Picture.Verdict == members.Whole })
+	for _, from := range c.names() {
+		for _, to := range c.names() {
+			c.Ways().Set(from, to, ways.Trouble{Loss: 0.05})
+		}
+	}
+	stop := make(chan struct{})
+	var burners sync.WaitGroup
+	for range runtime.NumCPU() {
+		burners.Go(func() {
+			for x := 1; ; x = x*31 + 7 {
+				if x%(1<<20) == 0 {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(*calmFor)
+	close(stop)
+	burners.Wait()
+	v := c.Members()
+	pictures := c.fellows.read().Pictures
+	t.Logf("%d gateways, %v, all %d cores busy, 5%% loss: %d false failures, %d changes of verdicts, %d pictures", *calmCount, *calmFor, runtime.NumCPU(), v.False, v.Changes, len(pictures))
+	if v.False > 0 {
+		t.Errorf("%d false failures", v.False)
+	}
+}
