--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -173,7 +173,7 @@
 
 // watchPictures records what a gateway believes until ctx ends.
 func (l *Lab) watchPictures(ctx context.Context, g *gatewayProcess) {
-	every := max(lookPeers, lookEach*time.Duration(len(l.gateways)))
+	every := max(lookPeers, lookEach*time.Duration(len(l.gateways)), l.site.looks)
 	for wait.For(ctx, every) {
 		if g.pid() == 0 {
 			continue
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -38,10 +38,11 @@
 	Peers    bool    // the gateways know each other
 	// Every is between a gateway's probes of the others.
 	Every   time.Duration
-	Absent  int     // of the last gateways, not started at first, and not in the first roster
-	Moments string  // folder for the gateways' counts of short spans; "": none
-	Honour  float64 // share of clients that wait as Retry-After says; below 0: none
-	Ceiling float64 // hard ceiling on every plan, in times its quota; 0: none
+	looks   time.Duration // between looks at a gateway's picture; 0: as often as the lab bears
+	Absent  int           // of the last gateways, not started at first, and not in the first roster
+	Moments string        // folder for the gateways' counts of short spans; "": none
+	Honour  float64       // share of clients that wait as Retry-After says; below 0: none
+	Ceiling float64       // hard ceiling on every plan, in times its quota; 0: none
 
 	Overshoot  float64 // of a quota that is let pass, in percent of the account's burst
 	SpareUnits float64 // and so many units
