Keep the library's version apart from ours, so that neighbours run side by side

Cause: the library refuses a member whose version lies outside what every other one states; with ours in its place, the first member of a next version would have been refused by all.

Change: the library's version stays; ours goes in the messages.

--- a/internal/peers/detector.go
+++ b/internal/peers/detector.go
@@ -50,7 +50,7 @@
 	c.PushPullInterval, c.TCPTimeout = pushPullEvery*s.Every, min(streamFor, 10*s.Every)
 	c.EnableCompression, c.UDPBufferSize, c.HandoffQueueDepth = false, mostPacket, inboxDepth
 	c.Delegate, c.Events, c.Ping, c.Alive = d, d, d, d
-	c.DelegateProtocolMin, c.DelegateProtocolMax, c.DelegateProtocolVersion = leastVersion, version, version
+	c.DelegateProtocolMin, c.DelegateProtocolMax, c.DelegateProtocolVersion = libraryVersion, libraryVersion, libraryVersion
 	c.Logger = log.New(&told{detector: d, counts: t.counts}, "", 0)
 	list, err := memberlist.Create(c)
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -85,6 +86,7 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
+	set.speaks = cmp.Or(set.speaks, version)
 	p := &Peers{set: set, clock: newClock(), asks: make(chan ask), ended: make(chan struct{}), toldRoster: map[string]members.Time{}}
 	p.keys.changed(set.KeyFile)
 	keys, err := readKeys(set.KeyFile)
@@ -157,8 +159,8 @@
 // says is what this process tells of itself.
 func (p *Peers) says() (meta, message) {
 	r := p.machine.Roster()
-	return meta{Version: version, Epoch: r.Epoch, Sum: fmt.Sprintf("%016x", r.Sum()), Desk: p.set.Desk},
-		message{From: p.set.Self, Roster: r, Lives: p.machine.Lives()}
+	return meta{Version: p.set.speaks, Epoch: r.Epoch, Sum: fmt.Sprintf("%016x", r.Sum()), Desk: p.set.Desk},
+		message{Version: p.set.speaks, From: p.set.Self, Roster: r, Lives: p.machine.Lives()}
 }
 
 func (p *Peers) publish() {
@@ -308,7 +310,7 @@
 		clear(p.toldRoster)
 	}
 	p.toldRoster[a.Name] = now
-	d, m := p.detector, message{From: p.set.Self, Roster: r}
+	d, m := p.detector, message{Version: p.set.speaks, From: p.set.Self, Roster: r}
 	go d.send(a, m) // ends within streamFor; what it misses, the next exchange of states brings
 }
 
--- a/internal/peers/settings.go
+++ b/internal/peers/settings.go
@@ -33,6 +33,8 @@
 	Rate      float64           // bytes a second that may be sent
 	Patient   bool              // another process may have the address for a while, as in an upgrade
 	Log       func(format string, a ...any)
+
+	speaks int // version; 0: this program's
 }
 
 // RosterVariable names the roster's file in the environment, where an agent keeps
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -17,6 +17,9 @@
 const (
 	version      = 1
 	leastVersion = 1
+	// The library takes no member whose version lies outside what all others state:
+	// this one stays, and what changes goes by the versions above.
+	libraryVersion = 1
 )
 
 const (
@@ -66,7 +69,6 @@
 }
 
 func (m message) encode() []byte {
-	m.Version = version
 	text, err := json.Marshal(m)
 	if err != nil || len(text) > mostMessage {
 		return nil // it is made of names in bounds
