Keep the number of a life on disk from falling in an upgrade

Cause: in an upgrade two processes share the folder; the one that ends could write its lower number over the other's.

Change: what is stored never lowers the number on disk. Costs are counted once what the starts set going has gone round.

Result: the test writes 5, 9, 7 and finds 9.

--- a/internal/lab/members_measure_test.go
+++ b/internal/lab/members_measure_test.go
@@ -101,6 +101,7 @@
 		}
 		return sum, cpu, mb
 	}
+	time.Sleep(30 * *measureEvery) // what the starts set going has gone round
 	before, cpuBefore, _ := cost()
 	time.Sleep(*measureIdle)
 	after, cpuAfter, mb := cost()
--- a/internal/peers/disk.go
+++ b/internal/peers/disk.go
@@ -36,7 +36,12 @@
 	return k, nil
 }
 
+// store writes it down. Danger: in an upgrade two processes share the folder, and
+// the one that ends must not put its lower number in the place of the other's.
 func (s *Settings) store(k kept) error {
+	if old, err := s.load(); err == nil {
+		k.Life = max(k.Life, old.Life)
+	}
 	text, err := json.Marshal(k)
 	if err != nil {
 		return fmt.Errorf("what is kept of peers: %w", err)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -231,6 +231,23 @@
 	}
 }
 
+// The process that ends in an upgrade does not lower the number on disk.
+func TestLifeOnDiskOnlyGrows(t *testing.T) {
+	s := newSite(t, "north", 1)
+	set := s.settings("g0")
+	for _, life := range []members.Life{5, 9, 7} {
+		if err := set.store(kept{Life: life}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if k, err := set.load(); err != nil || k.Life != 9 {
+		t.Errorf("%d is kept (%v), want 9", k.Life, err)
+	}
+	if life := newLife(1<<60, time.Now()); life != 1<<60+1 {
+		t.Errorf("the next life is %d", life)
+	}
+}
+
 // Wrong key, or the right key and another site's name: they never merge, and what
 // came is counted.
 func TestSitesNeverMix(t *testing.T) {
