End whatever peers have under way with their sockets, and show that nothing is left

Cause: what tells a member of a roster ran in a goroutine that nobody waited for, ten seconds at worst.

Change: connections that this process makes end with its sockets too, dials among them; errands are waited for.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,8 @@
 	raises     int
 	began      members.Time // of this life
 	toldRoster map[string]members.Time
-	joining    chan int // how many were reached; nil: nobody is asked
+	joining    chan int       // how many were reached; nil: nobody is asked
+	errands    sync.WaitGroup // what asks and tells others; the end of the sockets ends them
 	joinAt     members.Time
 	joinPause  time.Duration
 	joinEnd    context.CancelFunc
@@ -248,10 +250,8 @@
 		p.joinEnd()
 	}
 	p.detector.close(leave)
-	if p.joining != nil {
-		<-p.joining
-		p.joining = nil
-	}
+	p.errands.Wait()
+	p.joining = nil
 }
 
 func (p *Peers) handle(ev members.Event) {
@@ -311,7 +311,7 @@
 	}
 	p.toldRoster[a.Name] = now
 	d, m := p.detector, message{Version: p.set.speaks, From: p.set.Self, Roster: r}
-	go d.send(a, m) // ends within streamFor; what it misses, the next exchange of states brings
+	p.errands.Go(func() { d.send(a, m) }) // what it misses, the next exchange of states brings
 }
 
 // look compares with the library's whole list, and reads files that have changed.
@@ -422,7 +422,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done, d := make(chan int, 1), p.detector
 	p.joining, p.joinEnd = done, cancel
-	go func() { done <- d.join(ctx, targets) }() // ends with its connections' time-outs, or with the detector
+	p.errands.Go(func() { done <- d.join(ctx, targets) })
 }
 
 // keep writes down what must outlive a start, where it has changed.
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -71,10 +71,11 @@
 	budget  *rate.Limiter
 
 	wg     sync.WaitGroup
-	closed chan struct{}
-	once   sync.Once
+	ctx    context.Context // until Shutdown: nothing that is under way outlives it
+	cancel context.CancelFunc
 	mu     sync.Mutex
 	open   map[*stream]struct{}
+	came   int // of those that are open, how many others have made
 }
 
 func listen(s *Settings, counts *traffic) (*transport, error) {
@@ -97,7 +98,8 @@
 	}
 	udp.SetReadBuffer(readBufferMin) // less will do: what is lost is sent again
 	t := &transport{label: labelOf(s.Site), reach: s.Reach, advert: advert, udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet, packetsWait),
-		streams: make(chan net.Conn), counts: counts, budget: rate.NewLimiter(rate.Limit(s.Rate), burst(s.Rate)), closed: make(chan struct{}), open: map[*stream]struct{}{}}
+		streams: make(chan net.Conn), counts: counts, budget: rate.NewLimiter(rate.Limit(s.Rate), burst(s.Rate)), open: map[*stream]struct{}{}}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.wg.Go(t.readPackets)
 	t.wg.Go(t.accept)
 	return t, nil
@@ -156,7 +158,7 @@
 			time.Sleep(acceptPause) // out of descriptors, which others hold
 			continue
 		}
-		s := t.admit(conn)
+		s := t.admit(conn, true)
 		if s == nil {
 			t.counts.crowded.Add(1)
 			conn.SetLinger(0)
@@ -166,22 +168,26 @@
 		t.counts.streamsIn.Add(1)
 		select {
 		case t.streams <- s:
-		case <-t.closed:
+		case <-t.ctx.Done():
 			s.Close()
 			return
 		}
 	}
 }
 
-// admit bounds connections that others make.
-func (t *transport) admit(conn *net.TCPConn) *stream {
+// admit takes note of a connection, and bounds those that others make; nil: it is
+// one too many, or all has ended.
+func (t *transport) admit(conn *net.TCPConn, came bool) *stream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.open) >= mostStreams {
+	if t.ctx.Err() != nil || came && t.came >= mostStreams {
 		return nil
 	}
-	s := newStream(conn, t)
+	s := newStream(conn, t, came)
 	t.open[s] = struct{}{}
+	if came {
+		t.came++
+	}
 	return s
 }
 
@@ -239,33 +245,31 @@
 
 // DialAddressTimeout opens a connection to a member.
 func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
-	select {
-	case <-t.closed:
-		return nil, errEnded
-	default:
-	}
 	// From the address of its own, as datagrams go: others may tell members by that.
 	from := net.Dialer{Timeout: min(within, streamFor), LocalAddr: &net.TCPAddr{IP: t.tcp.Addr().(*net.TCPAddr).IP}}
-	conn, err := from.Dial("tcp", t.address(a))
+	conn, err := from.DialContext(t.ctx, "tcp", t.address(a))
 	if err != nil {
 		return nil, fmt.Errorf("peer: %w", err)
 	}
 	t.counts.streamsOut.Add(1)
-	return newStream(conn.(*net.TCPConn), t), nil
+	s := t.admit(conn.(*net.TCPConn), false)
+	if s == nil {
+		conn.Close()
+		return nil, errEnded
+	}
+	return s, nil
 }
 
 // Shutdown closes the sockets and waits for who reads them.
 func (t *transport) Shutdown() error {
-	t.once.Do(func() {
-		close(t.closed)
-		t.udp.Close()
-		t.tcp.Close()
-		t.mu.Lock()
-		for s := range t.open {
-			s.TCPConn.Close()
-		}
-		t.mu.Unlock()
-	})
+	t.cancel()
+	t.udp.Close()
+	t.tcp.Close()
+	t.mu.Lock()
+	for s := range t.open {
+		s.TCPConn.Close()
+	}
+	t.mu.Unlock()
 	t.wg.Wait()
 	return nil
 }
@@ -274,6 +278,7 @@
 type stream struct {
 	*net.TCPConn
 	t         *transport
+	came      bool // others have made it
 	until     time.Time
 	in, out   int // bytes that may still come and go
 	inMu      sync.Mutex
@@ -281,8 +286,8 @@
 	closeOnce sync.Once
 }
 
-func newStream(conn *net.TCPConn, t *transport) *stream {
-	s := &stream{TCPConn: conn, t: t, until: time.Now().Add(streamFor), in: mostStream, out: mostStream}
+func newStream(conn *net.TCPConn, t *transport, came bool) *stream {
+	s := &stream{TCPConn: conn, t: t, came: came, until: time.Now().Add(streamFor), in: mostStream, out: mostStream}
 	s.TCPConn.SetDeadline(s.until)
 	return s
 }
@@ -325,7 +330,7 @@
 	if len(b) > s.out {
 		return 0, io.ErrShortWrite
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), s.until)
+	ctx, cancel := context.WithDeadline(s.t.ctx, s.until)
 	defer cancel()
 	for left := len(b); left > 0; {
 		piece := min(left, s.t.budget.Burst())
@@ -346,6 +351,9 @@
 		err = s.TCPConn.Close()
 		s.t.mu.Lock()
 		delete(s.t.open, s)
+		if s.came {
+			s.t.came--
+		}
 		s.t.mu.Unlock()
 	})
 	return err
