Move the driver's decisions on members into the pure module, and drop what stood twice

Cause: read again, the driver decided whom to ask and to tell, which life to take and when to give way; an agent and the lab asked a gateway for its picture each in their own way, the line of a picture, the check of an address and the letters of a name stood twice, the agent read the roster's file at each report, and Picture.Same and the members of a happening had no reader.

An address that two members share is asked once: the list was shuffled before equal neighbours were dropped. An ask's context ends with it.

--- a/fleet/state.go
+++ b/fleet/state.go
@@ -257,10 +257,7 @@
 // CheckName finds what is wrong with the name of an agent or an instance. Names
 // become those of files and of processes.
 func CheckName(what, name string) error {
-	plain := func(r rune) bool {
-		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
-	}
-	if name == "" || len(name) > mostName || strings.HasPrefix(name, ".") || strings.ContainsFunc(name, func(r rune) bool { return !plain(r) }) {
+	if name == "" || len(name) > mostName || strings.HasPrefix(name, ".") || !members.Plain(name) {
 		return fmt.Errorf("%s %.40q: a name has letters, digits, '-', '_' and '.', at most %d, and does not begin with '.'", what, name, mostName)
 	}
 	return nil
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,8 @@
 	refusals  *refusals
 	checks    chan struct{} // bounds what is parsed at once
 
+	epoch uint64 // of the roster that is kept for the gateways, 0: none is; of the goroutine that reports
+
 	mu      sync.Mutex
 	leader  string                        // its address, as last heard
 	cutOff  string                        // why this agent has no leader; "": it has
--- a/internal/agent/belong.go
+++ b/internal/agent/belong.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -90,8 +87,8 @@
 // rosterPath is the file that this agent's gateways read.
 func (c *Config) rosterPath() string { return filepath.Join(c.Dir, rosterFile) }
 
-// rosterEpoch is that of the roster that is kept; 0: none is.
-func (a *Agent) rosterEpoch() uint64 {
+// keptRoster reads the epoch of the roster that an earlier run kept; 0: none is.
+func (a *Agent) keptRoster() uint64 {
 	text, err := os.ReadFile(a.config.rosterPath())
 	if err != nil {
 		return 0
@@ -121,17 +118,12 @@
 		a.log.Error("a roster can't be kept", "epoch", r.Epoch, "error", err)
 		return
 	}
+	a.epoch = r.Epoch
 	a.log.Info("a roster is kept for the gateways", "epoch", r.Epoch, "members", len(r.Members))
 }
 
 // awaitsRoster tells whether gateways can't start for want of a roster.
-func (a *Agent) awaitsRoster() bool {
-	if !a.config.Roster {
-		return false
-	}
-	_, err := os.Stat(a.config.rosterPath())
-	return errors.Is(err, os.ErrNotExist)
-}
+func (a *Agent) awaitsRoster() bool { return a.config.Roster && a.epoch == 0 }
 
 // belief is what a gateway says of the others.
 type belief struct {
@@ -156,25 +148,17 @@
 	if !p.config.Roster || at == "" {
 		return belief{}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+peers.DeskPath, nil)
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
+	defer cancel()
+	a, err := peers.Ask(ctx, at)
 	if err != nil {
 		return belief{}
 	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return belief{}
-	}
-	defer resp.Body.Close()
-	var a peers.Answer
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&a) != nil {
-		return belief{}
-	}
 	for _, v := range a.Picture.Members {
 		if v.Belongs && !v.State.There() && len(b.missing) < mostMissing {
 			b.missing = append(b.missing, v.Name)
 		}
 	}
-	b.line = fleet.Short(fmt.Sprintf("%v for %v, epoch %d, heard %v ago", a.Picture.Verdict, (a.Picture.At-a.Picture.Since).Round(time.Second), a.Picture.Epoch,
-		(a.Picture.At-a.Picture.Heard).Round(100*time.Millisecond)), mostBelief)
+	b.line = fleet.Short(a.Picture.Line(a.Picture.At), mostBelief)
 	return b
 }
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -18,7 +18,7 @@
 func (a *Agent) observe() report {
 	r := report{Agent: a.self}
 	if a.config.Roster {
-		r.Belong, r.Epoch = true, a.rosterEpoch()
+		r.Belong, r.Epoch = true, a.epoch
 	}
 	for _, name := range a.self.Instances {
 		s := a.processes[name].peek()
@@ -43,6 +43,9 @@
 // report tells the leader what runs here and does what it orders, until ctx
 // ends.
 func (a *Agent) report(ctx context.Context) {
+	if a.config.Roster {
+		a.epoch = a.keptRoster()
+	}
 	began := time.Now()
 	started := false // the instances that did not run have been told to
 	for ctx.Err() == nil {
--- a/internal/lab/audit/members.go
+++ b/internal/lab/audit/members.go
@@ -27,10 +27,9 @@
 
 // Happened is one thing that the lab did, when it had done it.
 type Happened struct {
-	At      time.Time
-	What    Happening
-	Name    string   // of a gateway, or of a trouble
-	Members []string // of a roster
+	At   time.Time
+	What Happening
+	Name string // of a gateway, or of a trouble
 }
 
 // Picture is what one process believed when it was asked.
@@ -139,9 +138,9 @@
 	return n
 }
 
-// calm tells whether the lab did nothing to anybody in a time, but what is left out.
-func calm(log MembersLog, from, to time.Time, but func(Happened) bool) bool {
-	return !slices.ContainsFunc(log.Happened, func(h Happened) bool { return h.At.After(from) && h.At.Before(to) && !but(h) })
+// calm tells whether the lab did nothing to anybody in a time but end processes.
+func calm(log MembersLog, from, to time.Time) bool {
+	return !slices.ContainsFunc(log.Happened, func(h Happened) bool { return h.At.After(from) && h.At.Before(to) && h.What != Ended })
 }
 
 // settled is when the last trouble before a moment had ended; false: one is on.
@@ -173,8 +172,7 @@
 			continue
 		}
 		until := end.At.Add(r.FailWithin)
-		others := func(h Happened) bool { return h.What == Ended }
-		if !calm(log, end.At, until, others) {
+		if !calm(log, end.At, until) {
 			continue
 		}
 		next := time.Time{}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -34,9 +32,8 @@
 
 // fellows are the ways between gateways and what was seen of their pictures.
 type fellows struct {
-	ways   *ways.Ways
-	dir    string
-	client *http.Client
+	ways *ways.Ways
+	dir  string
 
 	mu     sync.Mutex
 	reach  map[string]string // where each is found by the others
@@ -53,20 +50,19 @@
 }
 
 // happened notes what the lab did to a gateway, or to the ways between them.
-func (l *Lab) happened(what audit.Happening, name string, members []string) {
+func (l *Lab) happened(what audit.Happening, name string) {
 	if l.fellows == nil {
 		return
 	}
 	f := l.fellows
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log.Happened = append(f.log.Happened, audit.Happened{At: time.Now(), What: what, Name: name, Members: members})
+	f.log.Happened = append(f.log.Happened, audit.Happened{At: time.Now(), What: what, Name: name})
 }
 
 // openFellows lays the ways and files that gateways know each other by.
 func (l *Lab) openFellows() error {
-	f := &fellows{ways: ways.New(l.site.Seed), dir: filepath.Join(l.dir, "peers"), reach: map[string]string{},
-		client: &http.Client{Timeout: lookWithin, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &fellows{ways: ways.New(l.site.Seed), dir: filepath.Join(l.dir, "peers"), reach: map[string]string{}}
 	l.fellows = f
 	if err := os.Mkdir(f.dir, 0o700); err != nil {
 		return fmt.Errorf("peers: %w", err)
@@ -123,7 +119,7 @@
 	if err != nil {
 		return fmt.Errorf("roster: %w", err)
 	}
-	l.happened(audit.Agreed, "", names)
+	l.happened(audit.Agreed, "")
 	return nil
 }
 
@@ -145,8 +141,7 @@
 			}
 		}
 	}
-	dir := g.dir
-	return object{"listen": g.peers, "key_file": f.path("keys"), "roster": f.path("roster.toml"), "dir": dir, "seeds": seeds, "reach": reach}
+	return object{"listen": g.peers, "key_file": f.path("keys"), "roster": f.path("roster.toml"), "dir": g.dir, "seeds": seeds, "reach": reach}
 }
 
 // Answer asks a gateway what it believes.
@@ -158,17 +153,10 @@
 	return l.ask(ctx, g)
 }
 
-func (l *Lab) ask(ctx context.Context, g *gatewayProcess) (a peers.Answer, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.desk+peers.DeskPath, nil)
-	if err != nil {
-		return a, err
-	}
-	resp, err := l.fellows.client.Do(req)
-	if err != nil {
-		return a, err
-	}
-	defer resp.Body.Close()
-	return a, json.NewDecoder(resp.Body).Decode(&a)
+func (l *Lab) ask(ctx context.Context, g *gatewayProcess) (peers.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookWithin)
+	defer cancel()
+	return peers.Ask(ctx, g.desk)
 }
 
 // watchPictures records what a gateway believes until ctx ends.
@@ -243,7 +231,7 @@
 			}
 		}
 	}
-	l.happened(audit.Troubled, what, nil)
+	l.happened(audit.Troubled, what)
 	for _, w := range struck {
 		l.fellows.ways.Change(w[0], w[1], func(t *ways.Trouble) { set(t, true) })
 	}
@@ -251,7 +239,7 @@
 		for _, w := range struck {
 			l.fellows.ways.Change(w[0], w[1], func(t *ways.Trouble) { set(t, false) })
 		}
-		l.happened(audit.Healed, what, nil)
+		l.happened(audit.Healed, what)
 		return nil
 	}
 }
@@ -318,7 +306,7 @@
 		for _, t := range targets {
 			g := l.gateways[t]
 			end := l.excuse(g, "starved")
-			l.happened(audit.Troubled, "starve "+g.name, nil)
+			l.happened(audit.Troubled, "starve "+g.name)
 			all.Go(func() {
 				for ctx.Err() == nil {
 					if g.signal(sigStop, "") != nil {
@@ -328,7 +316,7 @@
 					g.signal(sigCont, "")
 					wait.For(ctx, starvePart-stopped)
 				}
-				l.happened(audit.Healed, "starve "+g.name, nil)
+				l.happened(audit.Healed, "starve "+g.name)
 				wait.For(l.ctx, wakeGrace)
 				end()
 			})
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -172,13 +172,13 @@
 	g.cmd, g.exited, g.state, g.asked = cmd, exited, Starting, false
 	g.starts++
 	g.mu.Unlock()
-	l.happened(audit.Started, g.name, nil)
+	l.happened(audit.Started, g.name)
 	l.wg.Go(func() {
 		err := cmd.Wait()
 		g.mu.Lock()
 		g.usage.bank(cmd.ProcessState)
 		g.state = Dead
-		l.happened(audit.Ended, g.name, nil)
+		l.happened(audit.Ended, g.name)
 		crashed := !g.asked
 		if crashed {
 			g.died = fmt.Sprintf("ended by itself (%v): %s", err, output.Telling(g.output.String()))
@@ -255,10 +255,10 @@
 // pause stops a process, or wakes it.
 func (l *Lab) pause(g *gatewayProcess, stopped bool) error {
 	if stopped {
-		l.happened(audit.Slept, g.name, nil)
+		l.happened(audit.Slept, g.name)
 		return g.signal(sigStop, Stopped)
 	}
-	defer l.happened(audit.Woke, g.name, nil)
+	defer l.happened(audit.Woke, g.name)
 	return g.signal(sigCont, Serving)
 }
 
--- a/internal/peers/desk.go
+++ b/internal/peers/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -52,12 +51,8 @@
 
 // Believes is one line of what this process believes, and how old that is.
 func (p *Peers) Believes() string {
-	picture, now := p.Picture(), p.clock.now()
-	heard := "nobody has answered yet"
-	if picture.Heard != 0 {
-		heard = fmt.Sprintf("the last answer %v ago", (now - picture.Heard).Round(100*time.Millisecond))
-	}
-	return fmt.Sprintf("peers: %v for %v (%s), epoch %d, %s", picture.Verdict, (now - picture.Since).Round(100*time.Millisecond), picture.Why, picture.Epoch, heard)
+	picture := p.Picture()
+	return "peers: " + picture.Line(p.clock.now())
 }
 
 // Desk answers this process's operators.
--- a/internal/peers/detector.go
+++ b/internal/peers/detector.go
@@ -93,21 +93,15 @@
 	}
 }
 
-// join asks members at addresses for what they know. It waits for them.
-func (d *detector) join(ctx context.Context, targets []memberlist.Address) (reached int) {
-	for _, a := range targets {
+// join asks members at addresses for what they know. It waits for them; whom it
+// does not reach is asked again later.
+func (d *detector) join(ctx context.Context, targets []string) {
+	for _, at := range targets {
 		if ctx.Err() != nil {
-			return reached
-		}
-		at := a.Addr
-		if a.Name != "" {
-			at = a.Name + "/" + at
-		}
-		if n, err := d.list.Join([]string{at}); err == nil {
-			reached += n
+			return
 		}
+		d.list.Join([]string{at})
 	}
-	return reached
 }
 
 // living are the members that the library counts as living.
--- a/internal/peers/disk.go
+++ b/internal/peers/disk.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
-	"time"
 
 	"linnetbend/internal/files"
 	"linnetbend/members"
@@ -48,11 +46,3 @@
 	}
 	return files.Replace(s.path("peers.json"), text, 0o600)
 }
-
-const lifeBits = 10 // of chance, below the milliseconds: two starts in one instant differ
-
-// newLife numbers a start. It is above all lives that this folder knows of; of
-// lives in other folders the clock has to tell, and the others if it is wrong.
-func newLife(last members.Life, now time.Time) members.Life {
-	return max(members.Life(now.UnixMilli())<<lifeBits|members.Life(rand.N(1<<lifeBits)), last+1)
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,12 +17,7 @@
 	"linnetbend/members"
 )
 
-const (
-	mostRaises = 3  // times that a start takes another life
-	raiseFor   = 10 // intervals in which it may: until then it has held nothing
-	lookEvery  = 2  // intervals between looks at the files and the whole list
-	toldEvery  = 5  // intervals between rosters sent to one member
-)
+const lookEvery = 2 // intervals between looks at the files and the whole list
 
 // Peers is one process's part in its site. Run owns it; the other methods may be
 // called from anywhere.
@@ -37,20 +31,19 @@
 	ended  chan struct{}
 
 	// of Run's goroutine
-	kept       kept
-	detector   *detector // nil: the sockets are not open yet
-	machine    *members.Machine
-	file       fileSeen // the roster's
-	keys       fileSeen
-	raises     int
-	began      members.Time // of this life
-	toldRoster map[string]members.Time
-	joining    chan int       // how many were reached; nil: nobody is asked
-	errands    sync.WaitGroup // what asks and tells others; the end of the sockets ends them
-	joinAt     members.Time
-	joinPause  time.Duration
-	joinEnd    context.CancelFunc
-	left       bool // a later life of the name is there: this one takes no part any more
+	kept     kept
+	detector *detector // nil: the sockets are not open yet
+	machine  *members.Machine
+	contacts *members.Contacts
+	rng      *rand.Rand
+	file     fileSeen // the roster's
+	keys     fileSeen
+	raises   int
+	began    members.Time   // of this life
+	joined   chan struct{}  // closed when those that are being asked have been; nil: nobody is
+	errands  sync.WaitGroup // what asks and tells others; the end of the sockets ends them
+	joinEnd  context.CancelFunc
+	left     bool // a later life of the name is there: this one takes no part any more
 }
 
 type shown struct {
@@ -89,7 +82,8 @@
 		return nil, err
 	}
 	set.speaks = cmp.Or(set.speaks, version)
-	p := &Peers{set: set, clock: newClock(), asks: make(chan ask), ended: make(chan struct{}), toldRoster: map[string]members.Time{}}
+	p := &Peers{set: set, clock: newClock(), asks: make(chan ask), ended: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	p.keys.changed(set.KeyFile)
 	keys, err := readKeys(set.KeyFile)
 	if err != nil {
@@ -116,7 +110,7 @@
 	if p.kept.Addresses == nil {
 		p.kept.Addresses = map[string]string{}
 	}
-	if err := p.begin(newLife(p.kept.Life, time.Now())); err != nil {
+	if err := p.begin(members.NextLife(p.kept.Life, time.Now(), p.rng.Uint64())); err != nil {
 		return nil, err
 	}
 	if !set.Patient {
@@ -154,7 +148,7 @@
 	if p.detector, err = detect(&p.set, t, p.ring, p.kept.Life, m, says); err != nil {
 		return err
 	}
-	p.joinAt, p.joinPause = p.clock.now(), rejoinFirst*p.set.Every
+	p.contacts = members.NewContacts(p.set.Every, p.clock.now())
 	return nil
 }
 
@@ -225,8 +219,8 @@
 			p.handle(ev)
 		case a := <-p.asks:
 			a.done <- p.machine.Evidence(a.name)
-		case <-p.joining:
-			p.joining = nil
+		case <-p.joined:
+			p.joined = nil
 		case <-tick.C:
 			p.handle(members.Tick{})
 			if now := p.clock.now(); now-looked >= lookEvery*p.set.Every {
@@ -251,7 +245,7 @@
 	}
 	p.detector.close(leave)
 	p.errands.Wait()
-	p.joining = nil
+	p.joined = nil
 }
 
 func (p *Peers) handle(ev members.Event) {
@@ -276,7 +270,7 @@
 // yield gives way to a later life of this process's name. One that has only just
 // begun is itself the later one, whatever its clock says: it takes a higher number.
 func (p *Peers) yield(later members.Life) {
-	if p.raises >= mostRaises || p.clock.now()-p.began > raiseFor*p.set.Every {
+	if !members.MayRaise(p.raises, p.clock.now()-p.began, p.set.Every) {
 		p.set.Log("peers: life %d of %s is there; this one, %d, takes no part any more", later, p.set.Self, p.kept.Life)
 		p.left = true
 		p.part(true)
@@ -286,7 +280,7 @@
 	p.part(true)
 	p.set.Log("peers: life %d of %s has been; this one begins again above it", later, p.set.Self)
 	p.kept.Roster = p.machine.Roster()
-	err := p.begin(later + 1<<lifeBits)
+	err := p.begin(members.Above(later))
 	if err == nil {
 		err = p.connect()
 	}
@@ -296,20 +290,12 @@
 	}
 }
 
-// share gives a member this process's roster, where that has an older or another one.
+// share gives a member this process's roster, where it is to have it.
 func (p *Peers) share(a members.Alive) {
 	r := p.machine.Roster()
-	if a.Epoch > r.Epoch || a.Epoch == r.Epoch && a.Sum == r.Sum() {
+	if !p.contacts.Tell(p.clock.now(), r, a) {
 		return
 	}
-	now := p.clock.now()
-	if last, told := p.toldRoster[a.Name]; told && now-last < toldEvery*p.set.Every {
-		return
-	}
-	if len(p.toldRoster) > 2*members.MostNames {
-		clear(p.toldRoster)
-	}
-	p.toldRoster[a.Name] = now
 	d, m := p.detector, message{Version: p.set.speaks, From: p.set.Self, Roster: r}
 	p.errands.Go(func() { d.send(a, m) }) // what it misses, the next exchange of states brings
 }
@@ -352,77 +338,42 @@
 	}
 }
 
-// compare brings the machine to the library's list. Events may have found no room,
-// and the library tells nobody that a suspicion was denied.
+// compare brings the machine to the library's list.
 func (p *Peers) compare() {
-	lost := p.detector.lost.Swap(false)
-	there := map[string]members.Alive{}
-	for _, a := range p.detector.living() {
-		if a.Name == p.set.Self && a.Life == p.kept.Life {
-			continue
+	life, lost, living := p.kept.Life, p.detector.lost.Swap(false), p.detector.living()
+	for _, a := range living {
+		if a.Name != p.set.Self || a.Life != life {
+			p.share(a)
 		}
-		if b, twice := there[a.Name]; !twice || a.Life > b.Life {
-			there[a.Name] = a
-		}
-		p.share(a)
 	}
-	for _, v := range p.machine.Picture(p.clock.now()).Members {
-		a, listed := there[v.Name]
-		switch {
-		case v.Self:
-		case listed && (!v.State.There() || a.Life != v.Life || a.Epoch != v.Epoch):
-			p.handle(a)
-		case !listed && v.State.There() && lost:
-			p.handle(members.Failed{Name: v.Name, Life: v.Life})
-		}
-		if p.left {
-			return
+	for _, ev := range p.machine.Compare(living, lost) {
+		if p.handle(ev); p.left || p.kept.Life != life {
+			return // what was compared is no more
 		}
 	}
 }
 
-// join asks whoever belongs and is not heard, and the seeds while nobody is, with
-// pauses that grow: after a long cut the library has forgotten those beyond it.
+// join asks whom it does not hear to let it in again.
 func (p *Peers) join() {
-	now := p.clock.now()
-	if p.left || p.joining != nil || now < p.joinAt {
+	if p.left || p.joined != nil {
 		return
 	}
-	picture := p.machine.Picture(now)
-	var targets []memberlist.Address
-	for _, v := range picture.Members {
-		if at := p.kept.Addresses[v.Name]; !v.Self && v.Belongs && !v.State.There() {
-			if to := p.set.Reach[v.Name]; to != "" {
-				at = to
-			}
-			if at != "" {
-				targets = append(targets, memberlist.Address{Addr: at})
-			}
+	var seeds []string
+	for _, seed := range p.set.Seeds {
+		if seed = cmp.Or(p.set.Reach[seed], seed); seed != p.set.Advertise {
+			seeds = append(seeds, seed)
 		}
 	}
-	if picture.Likely <= 1 || len(targets) < picture.Belong-picture.Likely {
-		for _, seed := range p.set.Seeds {
-			if to, named := p.set.Reach[seed]; named {
-				seed = to
-			}
-			if seed != p.set.Advertise {
-				targets = append(targets, memberlist.Address{Addr: seed})
-			}
-		}
-	}
-	p.joinAt = now + p.joinPause + rand.N(p.joinPause/2)
+	now := p.clock.now()
+	picture := p.machine.Picture(now)
+	targets := p.contacts.Ask(now, &picture, func(name string) string { return cmp.Or(p.set.Reach[name], p.kept.Addresses[name]) }, seeds, p.rng)
 	if len(targets) == 0 {
-		p.joinPause = rejoinFirst * p.set.Every
 		return
 	}
-	p.joinPause = min(2*p.joinPause, rejoinMost*p.set.Every)
-	rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
-	targets = slices.CompactFunc(targets, func(a, b memberlist.Address) bool { return a == b })
-	targets = targets[:min(len(targets), 4)] // one of them knows of all the others
 	ctx, cancel := context.WithCancel(context.Background())
-	done, d := make(chan int, 1), p.detector
-	p.joining, p.joinEnd = done, cancel
-	p.errands.Go(func() { done <- d.join(ctx, targets) })
+	done, d := make(chan struct{}), p.detector
+	p.joined, p.joinEnd = done, cancel
+	p.errands.Go(func() { defer close(done); defer cancel(); d.join(ctx, targets) })
 }
 
 // keep writes down what must outlive a start, where it has changed.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -214,7 +214,7 @@
 	s := newSite(t, "north", 2)
 	first := s.settings("g0")
 	set := s.settings("g1", "g0")
-	if err := set.store(kept{Life: members.Life(time.Now().Add(time.Hour).UnixMilli()) << lifeBits}); err != nil {
+	if err := set.store(kept{Life: members.Life(time.Now().Add(time.Hour).UnixMilli()) * members.LifeChances}); err != nil {
 		t.Fatal(err)
 	}
 	a, b := s.run(first), s.run(set)
@@ -243,7 +243,7 @@
 	if k, err := set.load(); err != nil || k.Life != 9 {
 		t.Errorf("%d is kept (%v), want 9", k.Life, err)
 	}
-	if life := newLife(1<<60, time.Now()); life != 1<<60+1 {
+	if life := members.NextLife(1<<60, time.Now(), 3); life != 1<<60+1 {
 		t.Errorf("the next life is %d", life)
 	}
 }
--- a/internal/peers/settings.go
+++ b/internal/peers/settings.go
@@ -7,7 +7,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -77,8 +76,6 @@
 	suspicionMost = 3 // so many times as long where nobody does
 	pushPullEvery = 20
 	toTheDead     = 60 // who has gone is still told so, and may deny it
-	rejoinFirst   = 2
-	rejoinMost    = 20
 )
 
 const mostFile = 1 << 20 // bytes of a file that is read
@@ -120,9 +117,8 @@
 		return fmt.Errorf("own name: %w", err)
 	}
 	for what, address := range map[string]string{"peers.listen": s.Listen, "peers.advertise": s.Advertise} {
-		host, port, err := net.SplitHostPort(address)
-		if err != nil || net.ParseIP(host) == nil || port == "" || port == "0" {
-			return fmt.Errorf("%s: %q is not an IP address with a port", what, address)
+		if err := site.IPPort(address); err != nil {
+			return fmt.Errorf("%s: %w", what, err)
 		}
 	}
 	if info, err := os.Stat(s.Dir); err != nil || !info.IsDir() {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -219,7 +219,7 @@
 		return "peers.site", errors.New("it is longer than 64 bytes")
 	}
 	for key, address := range map[string]string{"peers.listen": p.Listen, "peers.advertise": p.Advertise} {
-		if err := ipPort(address); address != "" && err != nil {
+		if err := IPPort(address); address != "" && err != nil {
 			return key, err
 		}
 	}
@@ -229,21 +229,21 @@
 			return fmt.Sprintf("peers.reach[%d].name", i), fmt.Errorf("%q is empty or stands twice", r.Name)
 		}
 		seen[r.Name] = true
-		if err := ipPort(r.Address); err != nil {
+		if err := IPPort(r.Address); err != nil {
 			return fmt.Sprintf("peers.reach[%d].address", i), err
 		}
 	}
 	for _, seed := range p.Seeds {
-		if err := ipPort(seed); err != nil && !seen[seed] {
+		if err := IPPort(seed); err != nil && !seen[seed] {
 			return "peers.seeds", fmt.Errorf("%q is neither an IP address with a port nor a name that reach has", seed)
 		}
 	}
 	return "", nil
 }
 
-// ipPort finds what is wrong with an address. Names are not looked up: who must
+// IPPort finds what is wrong with an address. Names are not looked up: who must
 // find the others when little works rests on nothing else.
-func ipPort(address string) error {
+func IPPort(address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if n, bad := strconv.ParseUint(port, 10, 16); err != nil || net.ParseIP(host) == nil || bad != nil || n == 0 {
 		return fmt.Errorf("%q is not an IP address with a port", address)
--- a/members/diff.go
+++ b/members/diff.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -59,12 +60,7 @@
 			names[v.Name] = true
 		}
 	}
-	sorted := make([]string, 0, len(names))
-	for name := range names {
-		sorted = append(sorted, name)
-	}
-	slices.Sort(sorted)
-	for _, name := range sorted {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
 		compare(name, name, "a way between gateways is cut, or news of it is under way", func(p *Picture) string {
 			i := slices.IndexFunc(p.Members, func(v View) bool { return v.Name == name })
 			if i < 0 {
--- a/members/machine.go
+++ b/members/machine.go
@@ -374,10 +374,9 @@
 }
 
 // lingers tells whether an earlier life of the name is still heard.
-func (f *fellow) lingers() bool {
-	return slices.ContainsFunc(f.older, func(o older) bool { return o.there })
-}
+func (f *fellow) lingers() bool { return f.lingering() > 0 }
 
+// lingering is how many of them are.
 func (f *fellow) lingering() (n int) {
 	for _, o := range f.older {
 		if o.there {
--- a/members/picture.go
+++ b/members/picture.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // State is what is known of one life.
@@ -85,26 +86,16 @@
 	Members    []View  `json:"members"`              // by name
 }
 
-// Same tells whether two pictures agree on who belongs and who is there. What
-// each has heard itself, and when, may differ.
-func (p *Picture) Same(q *Picture) bool {
-	if p.Epoch != q.Epoch || p.Sum != q.Sum || p.Verdict != q.Verdict || len(p.Members) != len(q.Members) {
-		return false
+// Line is what the picture says at a moment, and how old it is, for a person.
+func (p *Picture) Line(now Time) string {
+	const round = 100 * time.Millisecond
+	heard := "nobody has answered yet"
+	if p.Heard != 0 {
+		heard = fmt.Sprintf("the last answer %v ago", (now - p.Heard).Round(round))
 	}
-	for i := range p.Members {
-		if !p.Members[i].same(&q.Members[i]) {
-			return false
-		}
-	}
-	return true
-}
-
-func (v *View) same(w *View) bool {
-	return v.Name == w.Name && v.Life == w.Life && v.there() == w.there() && v.Older == w.Older
+	return fmt.Sprintf("%v for %v (%s), epoch %d, %s", p.Verdict, (now - p.Since).Round(round), p.Why, p.Epoch, heard)
 }
 
-func (v *View) there() bool { return v.State.There() }
-
 // There tells whether a life counts as living.
 func (s State) There() bool { return s == Living || s == Suspect }
 
--- a/members/roster.go
+++ b/members/roster.go
@@ -71,15 +71,19 @@
 
 // CheckName finds what is wrong with the name of a member.
 func CheckName(name string) error {
-	plain := func(r rune) bool {
-		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
-	}
-	if name == "" || len(name) > MostName || strings.ContainsFunc(name, func(r rune) bool { return !plain(r) }) {
+	if name == "" || len(name) > MostName || !Plain(name) {
 		return fmt.Errorf("%.80q: a name has letters, digits, '-', '_' and '.', 1 to %d of them", name, MostName)
 	}
 	return nil
 }
 
+// Plain tells whether a text has nothing but what names may have.
+func Plain(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.')
+	})
+}
+
 // Has tells whether a name belongs.
 func (r Roster) Has(name string) bool {
 	return slices.ContainsFunc(r.Members, func(m Member) bool { return m.Name == name })
