Keep the lead where an instance's name fits no roster

Cause: names of instances may have 128 bytes and those of members 64, and a site more instances than a roster members. With roster = true the leader's entry was refused by its own check, its term ended with that error, and so did the next.

Change: the leader checks first, says it once and goes on; an agent with roster = true refuses such a name in its file.

--- a/fleet/belong.go
+++ b/fleet/belong.go
@@ -16,7 +16,8 @@
 	At    time.Time `json:"at"`
 }
 
-func (b *Belong) check() error {
+// Check finds what no roster can have.
+func (b *Belong) Check() error {
 	if len(b.Names) == 0 || len(b.Names) > members.MostNames {
 		return fmt.Errorf("roster: %d names, and 1 to %d may be", len(b.Names), members.MostNames)
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -236,7 +236,7 @@
 	case e.Drain != nil:
 		return CheckName("instance", e.Drain.Instance)
 	case e.Belong != nil:
-		return e.Belong.check()
+		return e.Belong.Check()
 	case e.Noted != nil:
 		if len(e.Noted.What)+len(e.Noted.Who) > MostText {
 			return fmt.Errorf("event: longer than %d bytes", MostText)
--- a/internal/agent/belong.go
+++ b/internal/agent/belong.go
@@ -40,11 +40,20 @@
 	if len(names) == 0 || time.Since(t.belongingAt) < belongAfter {
 		return nil
 	}
+	b := fleet.Belong{Names: names, At: time.Now().UTC()}
+	if err := b.Check(); err != nil {
+		// Danger: it must not cost the lead, which would go round among the voters.
+		if t.misfit != err.Error() {
+			t.misfit = err.Error()
+			t.log.Error("the voters can't agree on who belongs; the roster stays", "error", err)
+		}
+		return nil
+	}
 	now := t.agreed()
 	if slices.EqualFunc(names, now.Members, func(name string, m members.Member) bool { return name == m.Name }) {
 		return nil
 	}
-	_, err := t.store.Propose(ctx, fleet.Entry{Belong: &fleet.Belong{Names: names, At: time.Now().UTC()}})
+	_, err := t.store.Propose(ctx, fleet.Entry{Belong: &b})
 	return err
 }
 
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -19,6 +19,7 @@
 	"linnetbend/internal/pki"
 	"linnetbend/internal/site"
 	"linnetbend/internal/strict"
+	"linnetbend/members"
 	"linnetbend/supervise"
 )
 
@@ -179,6 +180,9 @@
 		if _, err := hostOf(e.Listen); err != nil {
 			return at + ".listen", err
 		}
+		if err := members.CheckName(e.Name); c.Roster && err != nil {
+			return at + ".name", fmt.Errorf("with roster: %w", err)
+		}
 		if names[e.Name] || listens[e.Listen] {
 			return at, fmt.Errorf("%s or %s stands twice", e.Name, e.Listen)
 		}
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -25,6 +25,7 @@
 		{"':8081'", "':8080'", "instance[1]: g0 or :8080 stands twice"},
 		{"'g1'", "'g0'", "stands twice"},
 		{"':8081'", "':8081'\nenv = ['x']", `f:9: instance[0].env: "x" is not KEY=VALUE`},
+		{"plain = true\n[[instance]]\nname = 'g1'", "plain = true\nroster = true\n[[instance]]\nname = '" + strings.Repeat("g", 65) + "'", "f:8: instance[0].name: with roster"},
 		{"plain = true", "plain = true\n[timing]\nreport = '-1s'", "f:6: timing: report"},
 		{"plain = true", "plain = true\n[timing]\nreport = 'soon'", "is not a time"},
 		{"plain = true", "plain = true\n[timing]\nmost_pause = '1ms'", "f:6: timing: supervise"},
--- a/internal/agent/lead.go
+++ b/internal/agent/lead.go
@@ -63,6 +63,7 @@
 	// Who is to belong, and since when that has been the same.
 	belonging   []string
 	belongingAt time.Time
+	misfit      string // why they can't be agreed on, as last said
 
 	agents  map[string]fleet.Agent
 	drained map[string]bool // every instance of the site, and whether it is
