Show and keep a picture when it has changed, not with each answer

Cause: each event, answers of others among them, made a whole picture, looked each name up in the roster and copied the addresses that are kept.

Change: that is done with each tick and each change of the machine; a picture looks the roster through once.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -43,6 +43,7 @@
 	joined   chan struct{}  // closed when those that are being asked have been; nil: nobody is
 	errands  sync.WaitGroup // what asks and tells others; the end of the sockets ends them
 	joinEnd  context.CancelFunc
+	news     bool // what is shown is older than what the machine knows
 	left     bool // a later life of the name is there: this one takes no part any more
 }
 
@@ -222,6 +223,7 @@
 		case <-p.joined:
 			p.joined = nil
 		case <-tick.C:
+			p.news = true // with each tick all that is shown is, its age too
 			p.handle(members.Tick{})
 			if now := p.clock.now(); now-looked >= lookEvery*p.set.Every {
 				looked = now
@@ -229,8 +231,12 @@
 			}
 			p.join()
 		}
-		p.keep()
+		if !p.news {
+			continue // an answer like those before it: most events are
+		}
+		p.news = false
 		p.publish()
+		p.keep()
 		if s, c := p.machine.Share(), p.machine.Senders(); s != share || c != cold {
 			share, cold = s, c
 			told(share, cold)
@@ -257,6 +263,7 @@
 	if !p.machine.Handle(p.clock.now(), ev) {
 		return
 	}
+	p.news = true
 	if later := p.machine.Superseded(); later != 0 && !p.left {
 		p.yield(later)
 		return
@@ -378,8 +385,7 @@
 
 // keep writes down what must outlive a start, where it has changed.
 func (p *Peers) keep() {
-	addresses := maps.Clone(p.kept.Addresses)
-	changed := false
+	addresses, changed := maps.Clone(p.kept.Addresses), false
 	roster := p.machine.Roster()
 	for _, v := range p.shown.Load().picture.Members {
 		if !v.Self && v.Belongs && v.State.There() && v.Address != "" && addresses[v.Name] != v.Address {
--- a/members/machine.go
+++ b/members/machine.go
@@ -471,15 +471,15 @@
 	p := Picture{Number: m.number, At: m.now, Self: m.set.Self, Life: m.set.Life, Verdict: m.verdict, Since: m.since, Why: m.why,
 		Epoch: m.roster.Epoch, Sum: m.roster.Sum(), Belong: len(m.roster.Members), Safe: m.safe(), Likely: m.likely,
 		Share: m.share, Dropped: m.dropped, Superseded: m.superseded, Joining: m.joining(), Heard: m.heard}
-	names := map[string]bool{m.set.Self: true}
+	names := map[string]bool{m.set.Self: false} // whether each belongs
+	for name := range m.fellows {
+		names[name] = false
+	}
 	for _, other := range m.roster.Members {
 		names[other.Name] = true
 	}
-	for name := range m.fellows {
-		names[name] = true
-	}
-	for name := range names {
-		v := View{Name: name, Self: name == m.set.Self, Belongs: m.roster.Has(name)}
+	for name, belongs := range names {
+		v := View{Name: name, Self: name == m.set.Self, Belongs: belongs}
 		if f := m.fellows[name]; f != nil {
 			v.Life, v.State, v.Since, v.Heard, v.Epoch, v.Older, v.Address, v.Desk = f.life, f.state, f.since, f.heard, f.epoch, f.lingering(), f.address, f.desk
 		}
