--- a/internal/standin/ways/ways.go
+++ b/internal/standin/ways/ways.go
@@ -52,7 +52,6 @@
 	conns    map[net.Conn]struct{}
 	closed   bool
 	wg       sync.WaitGroup
-	lost     uint64
 }
 
 // door is where a member is reached.
@@ -128,13 +127,6 @@
 	w.changed.Broadcast()
 }
 
-// Hears tells whether a direction is not cut.
-func (w *Ways) Hears(from, to string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.troubles[pair{from, to}].Cut
-}
-
 // Close ends all ways and what goes over them.
 func (w *Ways) Close() {
 	w.mu.Lock()
@@ -184,7 +176,6 @@
 	w.mu.Lock()
 	t := w.troubles[pair{from, d.name}]
 	if w.closed || t.Cut || t.Loss > 0 && w.rng.Float64() < t.Loss || w.held >= mostHeld {
-		w.lost++
 		w.mu.Unlock()
 		return
 	}
