Take a drain that is hard to read for a drain, and no change older than what is known

Cause: Instance.Backend refused a Terminating entry of an unknown zone, an odd weight or start (discovery.go, the checks before the state was looked at), so the backend stayed in use past its grace; a value of the wrong type in one entry made encoding/json refuse the whole answer, drains of others among it, and the same list was asked for ten times a second; changes of a lower version than the one held were applied and could put a drained backend back.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"log"
-	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -45,6 +45,18 @@
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
 	StartedAtMs int64   `json:"startedAtMs"`
+
+	fault error // why the entry can't be read
+}
+
+// UnmarshalJSON reads an entry. Danger: one that can't be read would cost all the others
+// of its answer, drains among them; of that one, what can be read is kept with the fault.
+func (i *Instance) UnmarshalJSON(text []byte) error {
+	type plain Instance // without this method
+	if err := json.Unmarshal(text, (*plain)(i)); err != nil {
+		i.fault = err
+	}
+	return nil
 }
 
 var lifecycles = map[string]rules.BackendState{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
@@ -59,20 +71,43 @@
 
 // Backend translates an entry. The module's clock is Unix time (see owner.Clock), so
 // a start needs its unit changed only.
+//
+// Danger: an entry that is not understood must not keep a backend in use, which
+// may just be what it would end. With the error comes the backend as one that drains;
+// of an entry with no name there is none. One that drains or is gone needs no more than
+// its name and that.
 func (i Instance) Backend(d *wire.Deployment) (rules.Backend, error) {
 	state, known := lifecycles[i.Lifecycle]
-	zone := slices.Index(d.Zones, i.Zone)
+	b := rules.Backend{ID: BackendID(i.ID), Zone: slices.Index(d.Zones, i.Zone), Kind: slices.Index(d.Kinds, i.MachineType),
+		Cell: i.Cell, State: state, Weight: i.Weight, Born: float64(max(i.StartedAtMs, 0)) / 1000}
+	if len(d.Zones) == 0 {
+		b.Zone = 0 // all are in one place
+	}
+	var err error
 	switch {
-	case i.ID == "" || !known:
-		return rules.Backend{}, fmt.Errorf("instance %q: lifecycle %q is not known", i.ID, i.Lifecycle)
-	case zone < 0 && state != rules.Gone:
+	case i.fault != nil:
+		err = i.fault
+	case i.ID == "":
+		err = errors.New("it has no name")
+	case !known:
+		err = fmt.Errorf("lifecycle %q is not known", i.Lifecycle)
+	case state != rules.Ready:
+	case b.Zone < 0:
 		// Danger: two unknown zones must not pass for one that drops repeats.
-		return rules.Backend{}, fmt.Errorf("instance %q: zone %q is not known", i.ID, i.Zone)
-	case math.IsNaN(i.Weight) || i.StartedAtMs < 0:
-		return rules.Backend{}, fmt.Errorf("instance %q: impossible weight or start", i.ID)
+		err = fmt.Errorf("zone %q is not known", i.Zone)
+	case i.Weight < 0 || i.StartedAtMs < 0 || i.Cell < 0:
+		err = fmt.Errorf("weight %g, start %d or cell %d is impossible", i.Weight, i.StartedAtMs, i.Cell)
+	}
+	if err != nil && b.State != rules.Gone {
+		b.State = rules.Draining
 	}
-	return rules.Backend{ID: BackendID(i.ID), Zone: zone, Kind: slices.Index(d.Kinds, i.MachineType), Cell: i.Cell,
-		State: state, Weight: i.Weight, Born: float64(i.StartedAtMs) / 1000}, nil
+	if err != nil || b.Zone < 0 {
+		b.Zone, b.Cell = -1, -1 // no other is in these, so no repeat goes there
+	}
+	if err != nil {
+		err = fmt.Errorf("instance %q is left out: %w", i.ID, err)
+	}
+	return b, err
 }
 
 // Watcher follows discovery and hands on each answer.
@@ -133,10 +168,13 @@
 		return l, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListing))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListing+1))
 	if err != nil {
 		return l, err
 	}
+	if len(body) > mostListing {
+		return l, fmt.Errorf("list: over %d bytes", mostListing)
+	}
 	if resp.StatusCode != http.StatusOK {
 		w.listed = false // the version may be the trouble: start from the whole list
 		return l, fmt.Errorf("status %s", resp.Status)
@@ -145,6 +183,11 @@
 		w.listed = false
 		return l, fmt.Errorf("list: %w", err)
 	}
+	if w.listed && !l.Reset && l.Generation < w.since {
+		// Danger: what it calls changes is older than what is known, and would put back what has gone.
+		w.listed = false
+		return l, fmt.Errorf("changes of version %d after %d", l.Generation, w.since)
+	}
 	if !w.listed {
 		l.Reset = true // a call without a version is answered with all there are
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 
@@ -35,6 +37,10 @@
 		{"", Listing{Generation: 50, Reset: true}, true, false},
 		{"since=50&timeout_ms=4000", "{", false, true},
 		{"", Listing{Generation: 51, Reset: true}, true, false},
+		{"since=51&timeout_ms=4000", Listing{Generation: 50}, false, true}, // changes that are older than what is known
+		{"", Listing{Generation: 50, Reset: true}, true, false},
+		{"since=50&timeout_ms=4000", strings.Repeat(" ", mostListing) + `{"generation":52}`, false, true}, // without end
+		{"since=50&timeout_ms=4000", "{\n  \"generation\": 52,\n\t\"instances\" : [ ]\r\n}\n", false, false},
 	} {
 		if got := testpeer.Wait(t, r.Calls, "call"); got != step.query {
 			t.Fatalf("step %d: call %q, want %q", i, got, step.query)
@@ -43,7 +49,11 @@
 		if step.none {
 			continue
 		}
-		if got := testpeer.Wait(t, heard, "list"); got.Generation != step.answer.(Listing).Generation || got.Reset != step.reset {
+		want := int64(52)
+		if l, ok := step.answer.(Listing); ok {
+			want = l.Generation
+		}
+		if got := testpeer.Wait(t, heard, "list"); got.Generation != want || got.Reset != step.reset {
 			t.Fatalf("step %d: heard %+v", i, got)
 		}
 	}
@@ -65,9 +75,63 @@
 		{ID: "s-1", Zone: "a", Lifecycle: "ready"},
 		{ID: "s-1", Zone: "c", Lifecycle: "Ready"},
 		{ID: "s-1", Zone: "a", Lifecycle: "Ready", StartedAtMs: -1},
+		{ID: "s-1", Zone: "a", Lifecycle: "Ready", Weight: -1},
+		{ID: "s-1", Zone: "a", Lifecycle: "Ready", Cell: -1},
+	} {
+		if b, err := bad.Backend(d); err == nil || b.State == rules.Ready {
+			t.Errorf("%+v was taken: %+v", bad, b)
+		}
+	}
+	// What no longer is in use needs nothing but its name and that.
+	for _, gone := range []Instance{
+		{ID: "s-1", Lifecycle: "Gone"},
+		{ID: "s-1", Lifecycle: "Terminating", Zone: "c"},
+		{ID: "s-1", Lifecycle: "Terminating", Zone: "a", Weight: -1, StartedAtMs: -1},
 	} {
-		if _, err := bad.Backend(d); err == nil {
-			t.Errorf("%+v was taken", bad)
+		if b, err := gone.Backend(d); err != nil || b.State == rules.Ready || b.ID != BackendID("s-1") {
+			t.Errorf("%+v: %+v, %v", gone, b, err)
 		}
 	}
+	// Where the settings name no zones, all are in one.
+	if b, err := (Instance{ID: "s-1", Zone: "x", Lifecycle: "Ready"}).Backend(&wire.Deployment{}); err != nil || b.Zone != 0 {
+		t.Errorf("without zones: %+v, %v", b, err)
+	}
+}
+
+// An entry that can't be read costs no other one of its list, and is not in use.
+func TestEntryThatCantBeRead(t *testing.T) {
+	d := &wire.Deployment{Zones: []string{"a"}}
+	for _, entry := range []string{`{"instanceId": "bad", "lifecycle": "Ready", "zone": "a", "weight": "heavy"}`,
+		`{"instanceId": "bad", "lifecycle": 7, "zone": "a"}`, `{"instanceId": "bad", "lifecycle": "Ready", "zone": ["a"]}`,
+		`{"instanceId": "bad", "lifecycle": "Ready", "zone": "a", "startedAtMs": 1e99}`, `{"instanceId": 9}`, `[]`, `"bad"`, `null`} {
+		var l Listing
+		text := `{"generation": 7, "instances": [` + entry + `, {"instanceId": "good", "lifecycle": "Terminating", "zone": "a"}]}`
+		if err := json.Unmarshal([]byte(text), &l); err != nil || l.Generation != 7 || len(l.Instances) != 2 {
+			t.Errorf("%s: %+v, %v", entry, l, err)
+			continue
+		}
+		if b, err := l.Instances[0].Backend(d); err == nil || b.State == rules.Ready || strings.Contains(entry, `"instanceId": "bad"`) && l.Instances[0].ID != "bad" {
+			t.Errorf("%s was taken: %+v, %v", entry, b, err)
+		}
+		if b, err := l.Instances[1].Backend(d); err != nil || b.State != rules.Draining {
+			t.Errorf("%s: the good one came to %+v, %v", entry, b, err)
+		}
+	}
+}
+
+func FuzzListing(f *testing.F) {
+	f.Add([]byte(`{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"h:1","zone":"a","lifecycle":"Ready","weight":1.0,"startedAtMs":0}]}`))
+	f.Add([]byte(`{"instances":[{"instanceId":"s","lifecycle":"Ready","zone":7},null,[],"x"]}`))
+	d := &wire.Deployment{Zones: []string{"a"}}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var l Listing
+		if json.Unmarshal(text, &l) != nil {
+			return
+		}
+		for _, i := range l.Instances {
+			if b, err := i.Backend(d); b.State == rules.Ready && (err != nil || i.ID == "" || b.Zone != 0 || b.Born < 0) {
+				t.Errorf("%+v is in use as %+v, %v", i, b, err)
+			}
+		}
+	})
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -184,6 +184,8 @@
 		b, err := i.Backend(l.deploy)
 		if err != nil {
 			log.Printf("discovery: %v", err)
+		}
+		if i.ID == "" {
 			continue
 		}
 		if other, known := l.names[b.ID]; known && other.name != i.ID {
