Write nothing for a request that is over, and no keyed repeat out of its window

Cause: four crossings between the module's decision and the socket. (1) Where the settings allow no cancel, an attempt whose dial was still coming up was written after its client had left or had its answer (backend.go attempt: only Cancel called it off). (2) The window of a keyed repeat was looked at when the module decided; a connection that came up late brought it to a backend that had forgotten the key. (3) recentSpan was 4 s, 'longer than a request stays open', which holds for one deployment: a deadline of 5 s, or 8,192 other ids, let a second request in under an open one's id. (4) At the bound on connections conn() used one that had not settled, so a second answer on its way was read as the next request's. Change: what is not written whole of a request that is over is withheld; a repeat has a time by which it must be written; ids are held while open and remembered for the longest class; at the bound an unsettled connection makes room for a new one.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -52,8 +52,10 @@
 	sent     float64
 	deadline float64
 	until    time.Time // the deadline for sockets
+	latest   time.Time // when the last byte must have been written; zero: any time before until
 	context  string    // the header traceparent; "": what the client sent goes on
 	ended    bool
+	neverRan bool // that is proved
 	streams  bool // its answer passes through
 
 	ctx    context.Context // of the dial
@@ -62,9 +64,10 @@
 	whole  func()              // the body that passes through has gone whole; nil where none does
 	passed func(rules.Outcome) // the answer that passed through has ended
 
-	mu     sync.Mutex
-	conn   *backendConn
-	called bool // off
+	mu      sync.Mutex
+	conn    *backendConn
+	called  bool // off
+	written bool // whole
 }
 
 // callOff ends the attempt's sending and waiting. Once it has returned, no byte
@@ -80,6 +83,40 @@
 	}
 }
 
+// withhold calls off what has not gone out whole of a request that is over. What has
+// is the module's to cancel, where the settings allow that.
+func (x *exchange) withhold() {
+	for _, a := range x.attempts {
+		if !a.ended && !a.gone() {
+			a.callOff()
+		}
+	}
+}
+
+// gone tells whether the request has been written whole.
+func (a *attempt) gone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.written
+}
+
+// went notes that the request has been written whole.
+func (a *attempt) went() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.written = true
+}
+
+// unsent is what an attempt comes to whose request did not go out whole.
+func (a *attempt) unsent() result {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.called || !a.latest.IsZero() && !time.Now().Before(a.latest) {
+		return result{outcome: rules.Moot} // none of the backend's doing
+	}
+	return result{outcome: rules.ConnectFailed}
+}
+
 // hold takes a connection for the attempt, unless it was called off.
 func (a *attempt) hold(c *backendConn) bool {
 	a.mu.Lock()
@@ -126,6 +163,7 @@
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	mostOpen       int // connections in all
+	connect        func(ctx context.Context, network, address string) (net.Conn, error)
 	trust          sockets.Trust
 	dials          atomic.Int64 // since they were last counted
 
@@ -135,7 +173,8 @@
 }
 
 func newPools(connectTimeout, keepAlive time.Duration, mostOpen int) *pools {
-	return &pools{connectTimeout: connectTimeout, idleLimit: max(keepAlive-idleMargin, keepAlive/2),
+	d := net.Dialer{KeepAlive: -1} // it would not notice a silent machine in time
+	return &pools{connect: d.DialContext, connectTimeout: connectTimeout, idleLimit: max(keepAlive-idleMargin, keepAlive/2),
 		mostOpen: mostOpen, targets: map[rules.BackendID]*target{}}
 }
 
@@ -281,12 +320,9 @@
 	}
 	now := time.Now()
 	idleLimit := min(p.idleLimit, p.trust.Limit(now))
-	n := len(t.idle)
-	if p.open < p.mostOpen {
-		// Danger: more than belonged to the last answer may be on its way, and would be read as the next.
-		n = t.settled(now)
-	}
-	for n--; n >= 0; n-- {
+	// Danger: more than belonged to the last answer may be on its way, and would be read as the next. At the
+	// bound as well: there one that has not settled makes room for a new one.
+	for n := t.settled(now) - 1; n >= 0; n-- {
 		c := t.idle[n]
 		age := now.Sub(c.idle)
 		t.idle = slices.Delete(t.idle, n, n+1)
@@ -324,8 +360,7 @@
 	defer cancel()
 	defer context.AfterFunc(t.ctx, cancel)()
 	p.dials.Add(1)
-	d := net.Dialer{KeepAlive: -1} // it would not notice a silent machine in time
-	conn, err := d.DialContext(ctx, "tcp", t.address)
+	conn, err := p.connect(ctx, "tcp", t.address)
 	if err != nil {
 		return nil, err
 	}
@@ -342,20 +377,23 @@
 func (p *pools) attempt(a *attempt) result {
 	c, err := p.conn(a.ctx, a.backend)
 	if err != nil {
-		return result{outcome: rules.ConnectFailed}
+		return a.unsent()
 	}
 	if !a.hold(c) {
 		p.discard(c)
-		return result{outcome: rules.ConnectFailed}
+		return a.unsent()
 	}
 	c.SetDeadline(a.until)
+	if !a.latest.IsZero() && a.latest.Before(a.until) {
+		c.SetWriteDeadline(a.latest)
+	}
 	if err := a.pass(c); err != nil {
 		a.release()
 		p.discard(c)
 		if up := a.x.upload; up != nil && up.broken {
 			return result{outcome: rules.Cancelled} // the client's doing, not the backend's
 		}
-		return result{outcome: rules.ConnectFailed}
+		return a.unsent()
 	}
 	res, reuse := c.answer(a.x.method)
 	if rest := res.rest; rest != nil {
@@ -403,6 +441,7 @@
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
+	a.went()
 	if x.upload != nil {
 		a.whole()
 		c.SetDeadline(time.Now().Add(seconds(x.left)))
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,6 +5,7 @@
 	"log"
 	"net/http"
 	"sync"
+	"time"
 
 	"linnetbend/internal/config"
 	"linnetbend/internal/discovery"
@@ -102,7 +103,8 @@
 	attempts sync.WaitGroup // those that use sockets
 
 	live  map[rules.RequestID]*exchange // until the last attempt has ended
-	ids   recent                        // the clients' own, of requests taken lately
+	held  map[string]struct{}           // the clients' own ids of those
+	ids   recent                        // and of requests taken lately
 	names map[rules.BackendID]listed    // the ready ones
 	ever  everListed
 	out   map[string]struct{} // backends out by hand; the module leaves them out
@@ -110,7 +112,8 @@
 
 func newLoop(c *config.Config, p *pools, k owner.Counter, onListed func()) *Loop {
 	l := &Loop{Owner: owner.New(c.Settings, c.Seed, k), deploy: &c.Deployment, pools: p, onListed: onListed,
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]listed{}, out: map[string]struct{}{}}
+		live: map[rules.RequestID]*exchange{}, held: map[string]struct{}{}, names: map[rules.BackendID]listed{}, out: map[string]struct{}{}}
+	l.ids.span = longest(c).Seconds()
 	l.Start(l)
 	return l
 }
@@ -136,6 +139,7 @@
 		x.open = false
 		l.tell(x, stories.Event{Kind: stories.Left})
 		l.Handle(rules.ClientGone{Request: x.ask.ID})
+		x.withhold()
 		l.drop(x)
 		return
 	}
@@ -162,12 +166,13 @@
 	}
 	// Danger: an id names one request. A second one under it, from whatever client, could be answered by
 	// what a backend made for the first.
-	if !l.ids.add(x.id, x.ask.Sent) {
+	_, twice := l.held[x.id]
+	if !l.ids.add(x.id, x.ask.Sent) || twice {
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
 	x.ask.ID, x.open = l.NewID(), true
-	l.live[x.ask.ID] = x
+	l.live[x.ask.ID], l.held[x.id] = x, struct{}{}
 	if m := l.Moment(); m != nil {
 		m.Requests++
 	}
@@ -295,7 +300,7 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
-	a.until = l.Clock.At(a.deadline)
+	a.until, a.latest = l.Clock.At(a.deadline), l.latest(x)
 	x.attempts = append(x.attempts, a)
 	x.out++
 	l.tellSent(a, s.Paid)
@@ -317,6 +322,19 @@
 	})
 }
 
+// latest is when a repeat must have gone out, if an attempt before may have run; the
+// zero time: whenever. Danger: the module looks at the window when it decides, and a
+// connection that comes up late would bring the repeat to a backend that has forgotten.
+func (l *Loop) latest(x *exchange) time.Time {
+	class := &l.deploy.Classes[x.ask.Class]
+	for _, a := range x.attempts { // in the order they were sent
+		if class.Effect == rules.ByKey && !a.neverRan {
+			return l.Clock.At(a.sent + class.DedupeWindow - 2*l.deploy.Tick)
+		}
+	}
+	return time.Time{}
+}
+
 // bodyWhole starts the client's time where its body has gone on whole.
 func (l *Loop) bodyWhole(a *attempt) {
 	x := a.x
@@ -350,7 +368,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.neverRan = true, rules.NeverRan(res.outcome)
 	x := a.x
 	x.out--
 	l.tell(x, stories.Event{Kind: stories.Ended, Attempt: a.number, Outcome: res.outcome})
@@ -388,6 +406,7 @@
 	x.open = false
 	l.tell(x, answered(a))
 	x.reply <- a // it has room for one, and one is all it gets
+	x.withhold()
 	l.drop(x)
 }
 
@@ -395,6 +414,7 @@
 func (l *Loop) drop(x *exchange) {
 	if !x.open && x.out == 0 {
 		delete(l.live, x.ask.ID)
+		delete(l.held, x.id)
 	}
 }
 
@@ -440,18 +460,16 @@
 
 // recent remembers ids for a while: those of the present span and of the last.
 type recent struct {
+	span      float64 // seconds
 	now, last map[string]struct{}
 	since     float64
 }
 
-const (
-	recentSpan = 4.0     // seconds; longer than a request stays open
-	recentMost = 1 << 13 // ids of a span; then the next begins
-)
+const recentMost = 1 << 13 // ids of a span; then the next begins
 
 // add tells whether an id is new, and remembers it.
 func (r *recent) add(id string, now float64) bool {
-	if r.now == nil || now-r.since > recentSpan || len(r.now) >= recentMost {
+	if r.now == nil || now-r.since > r.span || len(r.now) >= recentMost {
 		r.now, r.last, r.since = map[string]struct{}{}, r.now, now
 	}
 	if _, seen := r.now[id]; seen {
