See clients leave behind what they sent ahead, and answer all before the kill

Cause, each seen in a test on sockets: (1) net/http watches a waiting client by a read of one byte. With a byte behind the request it saw neither end nor reset, and the request went on for nobody (frontend.go, the wait on r.Context()). (2) A client that only ended its sending was answered 200 with no body, which no backend made: the handler returned without a word and the server said 200 for it. (3) An idle connection was closed by a look at the socket or by the server's own state; a request whose bytes had been read and whose head was not yet parsed was carried out and its answer reached nobody (clients.go closeQuiet, makeRoom, closeFresh; SetKeepAlivesEnabled at SIGTERM). http.Server.Shutdown dropped requests that it read after it had begun, and closed half-read ones. (4) The end came 0.5 s after the longest deadline, counted from SIGTERM: what was taken late was cut with no answer. (5) What waited in the backlog when the listener closed was reset. Change: the guard reads on behind an open request, 4 KiB at most, and tells the server of the end; a connection is closed as idle or its request goes on, never both; the gateway ends by its own count of connections; 0.3 s before the earliest kill all that is held is refused or failed by the module; the backlog is taken before the listener closes. A client's stated patience counts up to its class's deadline. TestAwaitsTheFirstRequest tested a function that is gone; what it held (a new connection's request is waited for, one that says nothing is not) TestRequestHalfThereAtTheEnd and TestARequestOnTheLastConnectionIsAnswered hold on sockets.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,9 +2,12 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"linnetbend/internal/sockets"
@@ -15,8 +18,9 @@
 	quietGrace = 2 * time.Second        // a connection is left alone so long after connecting or its last request
 	leastGrace = 100 * time.Millisecond // and so long where there is no room at all
 	roomLook   = 10 * time.Millisecond  // between looks for room
-	crossFor   = 100 * time.Millisecond // a request may be on its way for so long on a connection that was just made
-	crossMost  = 500 * time.Millisecond // and for so long where the machine is slow
+	crossMost  = 500 * time.Millisecond // a request may be on its way for so long on one that was just made, when the last are taken
+	lastLook   = 50 * time.Millisecond  // for the backlog before the listener closes
+	lastMost   = 300 * time.Millisecond // and in all, where more and more come
 )
 
 // clients keeps the connections of clients within a bound. Danger: a listener
@@ -26,9 +30,10 @@
 // open request for the longest.
 type clients struct {
 	net.Listener
-	most  int
-	cross time.Duration
-	freed chan struct{} // a connection has ended
+	most   int
+	cross  time.Duration // a first request is waited for so long once the last connections are taken
+	freed  chan struct{} // a connection has ended
+	ending atomic.Int64  // Unix nanoseconds by when the last must have been taken; 0: no end was asked for
 
 	mu    sync.Mutex
 	conns map[net.Conn]*list.Element // its place in quiet; nil while a request is open
@@ -43,14 +48,14 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, cross: crossFor, freed: make(chan struct{}, 1), conns: map[net.Conn]*list.Element{}}
+	return &clients{Listener: l, most: most, cross: crossMost, freed: make(chan struct{}, 1), conns: map[net.Conn]*list.Element{}}
 }
 
 // Accept returns the next connection that there is room for. One for which none
 // could be made soon is closed.
 func (c *clients) Accept() (net.Conn, error) {
 	for {
-		conn, err := c.Listener.Accept()
+		conn, err := c.next()
 		if err != nil {
 			return nil, err
 		}
@@ -85,9 +90,7 @@
 		if age < leastGrace || age < quietGrace && len(c.conns) < c.most {
 			break // all others have been quiet for less
 		}
-		// Danger: a request may just have arrived that the server has not read.
-		if sockets.Alive(q.Conn) {
-			q.Close()
+		if closeIdle(q.Conn) {
 			c.forget(q.Conn)
 			gone++
 		}
@@ -108,6 +111,9 @@
 		c.quiet.Remove(e)
 		c.conns[conn] = nil
 	}
+	if g, ok := conn.(*guard); ok {
+		g.follow(s)
+	}
 	switch s {
 	case http.StateNew, http.StateIdle:
 		c.conns[conn] = c.quiet.PushBack(quietConn{conn, time.Now(), s == http.StateNew})
@@ -128,62 +134,73 @@
 	}
 }
 
+// closeIdle closes a connection that no request has begun on.
+func closeIdle(conn net.Conn) bool {
+	if g, ok := conn.(*guard); ok {
+		return g.closeIdle()
+	}
+	if !sockets.Alive(conn) {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // closeQuiet closes the connections that have had no open request for the given
-// time. Danger: a request may have arrived that the server has not read; its
-// connection stays, and is closed after the answer.
-func (c *clients) closeQuiet(age time.Duration) {
+// time, one for those that have had a request and one for those that never had. One on
+// which a request has begun stays, and is closed after its answer.
+func (c *clients) closeQuiet(used, fresh time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	for e := c.quiet.Front(); e != nil; {
 		q, next := e.Value.(quietConn), e.Next()
-		if now.Sub(q.since) < age {
-			return
+		age := used
+		if q.fresh {
+			age = fresh
 		}
-		if sockets.Alive(q.Conn) {
-			q.Close()
+		if now.Sub(q.since) >= age && closeIdle(q.Conn) {
 			c.forget(q.Conn)
 		}
 		e = next
 	}
 }
 
-// takeLast ends the taking of new connections and waits for the requests on the
-// last ones. Danger: the server drops what it reads once it has been told to end,
-// and the client would see that in place of an answer.
-func (c *clients) takeLast() {
-	c.Close()
-	time.Sleep(c.cross)
-	for end := time.Now().Add(crossMost - c.cross); c.awaits(crossMost) && time.Now().Before(end); {
-		time.Sleep(roomLook)
+// finish ends the taking of new connections. Danger: what waits in the backlog when
+// the listener closes is reset, with its request. So the last of them are taken
+// first; Accept closes the listener when none is left.
+func (c *clients) finish() {
+	c.ending.Store(time.Now().Add(lastMost).UnixNano())
+	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); !ok || l.SetDeadline(time.Now()) != nil {
+		c.Close()
 	}
 }
 
-// awaits tells whether a connection younger than that has had no request yet. On a
-// slow machine one may lie there unread, or be a while on its way.
-func (c *clients) awaits(age time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for e := c.quiet.Back(); e != nil; e = e.Prev() {
-		q := e.Value.(quietConn)
-		if time.Since(q.since) >= age {
-			return false
-		}
-		if q.fresh {
-			return true
-		}
+// next is the listener's next connection. Once the end was asked for, each look at the
+// backlog has time of its own: one that is over before it begins finds nothing.
+func (c *clients) next() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	end := c.ending.Load()
+	if end == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return conn, err
+	}
+	if time.Now().UnixNano() > end {
+		c.Close()
+		return nil, net.ErrClosed
 	}
-	return false
+	if err := c.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Now().Add(lastLook)); err != nil {
+		return nil, err
+	}
+	if conn, err = c.Listener.Accept(); err != nil {
+		c.Close()
+		return nil, net.ErrClosed
+	}
+	return conn, nil
 }
 
-// closeFresh closes the connections that no request has come on. The server
-// counts them as busy for seconds, and would hold up the gateway's end for them.
-func (c *clients) closeFresh() {
+// open is how many connections there are.
+func (c *clients) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.quiet.Front(); e != nil; e = e.Next() {
-		if q := e.Value.(quietConn); q.fresh {
-			q.Close()
-		}
-	}
+	return len(c.conns)
 }
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -143,10 +143,10 @@
 	c := newClients(l, 10)
 	c.cross = 2 * time.Second
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: c.state}
-	server.RegisterOnShutdown(c.closeFresh)
 	config := &config.Config{}
 	config.Classes = []rules.Class{{Deadline: patience.Seconds()}}
-	go server.Serve(c)
+	took := make(chan struct{})
+	go func() { defer close(took); server.Serve(c) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -165,7 +165,7 @@
 		}
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- shutdown(config, &frontend{}, c, server) }()
+	go func() { ended <- shutdown(config, &frontend{}, c, server, took) }()
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 		other, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
@@ -186,24 +186,3 @@
 		t.Fatal(err)
 	}
 }
-
-// The end waits for the request of a connection that was made just before, and not
-// for those that have had one, or that have said nothing for long.
-func TestAwaitsTheFirstRequest(t *testing.T) {
-	c := newClients(nil, 10)
-	busy, silent := &net.TCPConn{}, &net.TCPConn{}
-	if c.awaits(time.Hour) {
-		t.Error("it waits for nobody")
-	}
-	c.state(silent, http.StateNew)
-	if !c.awaits(time.Hour) || c.awaits(0) {
-		t.Error("a new connection's first request is not waited for, or for ever")
-	}
-	c.state(busy, http.StateNew)
-	c.state(busy, http.StateActive)
-	c.state(busy, http.StateIdle)
-	c.state(silent, http.StateActive)
-	if c.awaits(time.Hour) {
-		t.Error("it waits for one that has had its request")
-	}
-}
--- /dev/null
+++ b/internal/gateway/end_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// closed waits until the gateway takes no more connections.
+func (r *rig) closed(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", r.address)
+		if err != nil {
+			return
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("the listener never closed")
+		}
+	}
+}
+
+// begins connects and sends the first bytes of a request.
+func (r *rig) begins(t *testing.T, part string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, part)
+	return conn
+}
+
+// endsWith reads the last answer on a connection.
+func endsWith(t *testing.T, conn net.Conn, what string, status int) {
+	t.Helper()
+	br := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatalf("%s: no answer: %v", what, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != status || !resp.Close {
+		t.Errorf("%s: status %d, want %d; closed %t", what, resp.StatusCode, status, resp.Close)
+	}
+}
+
+// short has all classes end after 2 s, so that the kill comes 2.7 s after the gateway was
+// asked to end.
+var short = strings.NewReplacer(`"deadlineS": 20`, `"deadlineS": 2`).Replace
+
+// A request of which a part had come before the gateway was asked to end, and the rest
+// after it has closed what said nothing, is answered: on a new connection and on a
+// kept one.
+func TestRequestHalfThereAtTheEnd(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	text := ask("POST", "booking", "pickup")
+	fresh := r.begins(t, text[:40])
+	bodyLacks := r.begins(t, ask("POST", "booking", "pickup")[:len(text)-3])
+	kept := r.begins(t, "GET "+readyPath+" HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+	keptReader := bufio.NewReader(kept)
+	if resp, err := http.ReadResponse(keptReader, nil); err != nil {
+		t.Fatal(err)
+	} else {
+		io.Copy(io.Discard, resp.Body)
+	}
+	second := ask("GET", "lookup", "")
+	io.WriteString(kept, second[:40])
+	silent := r.begins(t, "")
+	r.stop()
+	r.closed(t)
+	if got, err := io.ReadAll(silent); len(got) > 0 || isTimeout(err) {
+		t.Errorf("the connection that said nothing: %q, %v", got, err)
+	}
+	io.WriteString(fresh, text[40:])
+	serveOne(t, backend, "ok")
+	endsWith(t, fresh, "half a head on a new connection", 200)
+	io.WriteString(bodyLacks, "kup")
+	serveOne(t, backend, "ok")
+	endsWith(t, bodyLacks, "half a body", 200)
+	io.WriteString(kept, second[40:])
+	serveOne(t, backend, "ok")
+	endsWith(t, kept, "half a head on a kept connection", 200)
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// What is taken late must not be held past the kill, whatever time its client has: it
+// is refused where that is harmless, and failed where it may have run.
+func TestHeldUntilTheKill(t *testing.T) {
+	t.Parallel()
+	for class, status := range map[string]int{"lookup": 429, "payment": 502} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRigWith(t, short, backend)
+			text := ask("GET", class, "")
+			if class == "payment" {
+				text = ask("POST", class, "")
+				text = strings.Replace(text, "\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n", 1)
+			}
+			conn := r.begins(t, text[:len(text)-1])
+			r.stop()
+			r.closed(t) // 0.6 s later: the kill comes before the request's own end
+			io.WriteString(conn, text[len(text)-1:])
+			_, br := backend.Accept(t)
+			readRequest(t, br)
+			endsWith(t, conn, "taken late", status)
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Errorf("the attempt's connection: %v", err)
+			}
+			if err := wait(t, r.ended, "end"); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
+
+// gatedListener takes connections only once the gate is open.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// What waits in the backlog when the last connections are taken is served before the
+// listener closes.
+func TestBacklogAtTheEnd(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gated := &gatedListener{l.(*net.TCPListener), make(chan struct{})}
+	c := newClients(gated, 10)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: c.state}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(c) }()
+	defer server.Close()
+	var waiting []net.Conn
+	for range 3 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n")
+		waiting = append(waiting, conn)
+	}
+	c.finish()
+	close(gated.gate)
+	for i, conn := range waiting {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		resp.Body.Close()
+	}
+	if err := wait(t, done, "end of the server"); err != net.ErrClosed {
+		t.Errorf("the server ended with %v", err)
+	}
+	if conn, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		conn.Close()
+		t.Error("the listener stands")
+	}
+}
+
+// A connection is closed as idle or its request is carried out, never both: here its
+// bytes have been read, and the server has not seen them yet.
+func TestClosedAsIdleWhileARequestIsRead(t *testing.T) {
+	t.Parallel()
+	far := newPeer(t)
+	for _, readFirst := range []bool{true, false} {
+		client, err := net.Dial("tcp", far.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		near, _ := far.Accept(t)
+		g := &guard{TCPConn: near.(*net.TCPConn)}
+		io.WriteString(client, "GET ")
+		p := make([]byte, 4)
+		if readFirst {
+			if n, err := io.ReadFull(g, p); n != 4 || err != nil {
+				t.Fatalf("%d bytes, %v", n, err)
+			}
+			if g.closeIdle() {
+				t.Error("closed with a request begun")
+			}
+			continue
+		}
+		// The crossing: the bytes have left the socket, and the guard does not know yet.
+		if n, err := io.ReadFull(g.TCPConn, p); n != 4 || err != nil {
+			t.Fatalf("%d bytes, %v", n, err)
+		}
+		if !g.closeIdle() {
+			t.Error("an idle connection was not closed")
+		}
+		if g.begin() {
+			t.Error("the request goes on though its connection was closed")
+		}
+	}
+}
+
+// A reload and the end at once: the end waits for nothing of the reload, and a second
+// call to end changes nothing.
+func TestReloadAtTheEnd(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	_, held := r.client(t, ask("GET", "lookup", ""))
+	conn, br := backend.Accept(t)
+	readRequest(t, br)
+	dead, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dead.Close()
+	next := strings.Replace(*r.config.Load(), r.registry.Address(), dead.Addr().String(), 1)
+	r.config.Store(&next)
+	r.hup <- syscall.SIGHUP
+	r.stop()
+	r.stop()
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	if resp := wait(t, held, "answer"); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -94,13 +94,11 @@
 // server serves the clients of c, whose requests are held for the given time at
 // most.
 func (f *frontend) server(c *clients, longest time.Duration) *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
+	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, guardKey{}, conn)
 		}}
-	s.RegisterOnShutdown(c.closeFresh)
-	return s
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -122,6 +120,10 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if r.Context().Err() != nil {
+		gone(w) // with a request before this one
+		return
+	}
 	if !f.loop.Post(arrival{f.loop, x}) {
 		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
 		return
@@ -135,6 +137,9 @@
 		if x.upload != nil && !x.upload.stop() {
 			w.Header().Set("Connection", "close") // answered before its end
 		}
+		if g := guardOf(r); g != nil {
+			g.answering()
+		}
 		if err := a.write(w); err != nil {
 			panic(http.ErrAbortHandler) // the client must see that it is not whole
 		}
@@ -144,7 +149,9 @@
 			// Its body came to no end; the connection may still stand.
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the body did not come in time", http.StatusRequestTimeout)
+			return
 		}
+		gone(w)
 	case <-f.loop.Stopped():
 		if x.upload != nil {
 			x.upload.stop()
@@ -153,6 +160,14 @@
 	}
 }
 
+// gone ends the connection of a client that has left, or sends on without an answer.
+// Danger: with no word from here the server would say 200, and a client that has only
+// ended its sending would take that for a backend's answer.
+func gone(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, "the client ended its sending, or sent on, before its answer", http.StatusBadRequest)
+}
+
 // read takes a request in, whole, or says with which status it is turned down.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*exchange, int, error) {
 	now := f.loop.Clock.Now()
@@ -205,7 +220,8 @@
 		// Danger: the time-out for reading the request would end the watch.
 		http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	x.left = x.ask.Deadline - answerMargin
+	// Danger: what a client claims beyond its class's own time would hold a request past the end of this process.
+	x.left = min(x.ask.Deadline, class.Deadline) - answerMargin
 	x.ask.Sent = now
 	x.ask.Deadline = now + x.left
 	if x.upload != nil {
@@ -224,8 +240,14 @@
 // hides tells whether a request may hide another, or its connection has carried
 // one that may.
 func hides(r *http.Request) bool {
-	g, ok := r.Context().Value(guardKey{}).(*guard)
-	return ok && g.tainted.Load()
+	g := guardOf(r)
+	return g != nil && g.tainted.Load()
+}
+
+// guardOf is the guard of a request's connection; nil where it has none.
+func guardOf(r *http.Request) *guard {
+	g, _ := r.Context().Value(guardKey{}).(*guard)
+	return g
 }
 
 // originForm is the target as it goes on: a whole address, as for a proxy, loses
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -26,7 +27,15 @@
 	clientCost = 24 << 10               // bytes of an idle connection: two buffers, a stack and the books
 	knownAfter = 3 * time.Second        // without discovery, the list known from before has to do
 	stayFor    = 600 * time.Millisecond // new connections still come so long after a stop was asked for
-	stopMargin = 500 * time.Millisecond // for the last answers after the longest deadline
+)
+
+// The platform kills a process that it asked to end so long after that, whatever the process
+// still has: killAfter after the longest deadline, of which killMost count at most.
+const (
+	killMost   = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+	lastMargin = 300 * time.Millisecond // before that, all that is held gets its answer
+	endMargin  = 150 * time.Millisecond // and the process ends
 )
 
 // Reload tells a running gateway that its configuration has been replaced.
@@ -197,7 +206,9 @@
 		wg.Go(func() { front.empty(inner, callers) })
 	}
 	failed := make(chan error, 1)
+	took := make(chan struct{}) // all that is taken has come
 	wg.Go(func() {
+		defer close(took)
 		if c.Inherited {
 			// Danger: what this process takes before it can serve, the other one would have served.
 			select {
@@ -214,7 +225,7 @@
 		case err := <-failed:
 			return fmt.Errorf("clients: %w", err)
 		case <-ctx.Done():
-			return shutdown(c, front, callers, server)
+			return shutdown(c, front, callers, server, took)
 		case <-reload.Signal:
 			next, err := reload.Read()
 			if err != nil {
@@ -266,6 +277,9 @@
 const (
 	lameLook  = 100 * time.Millisecond // between looks for idle connections of a drained gateway
 	lameQuiet = 500 * time.Millisecond // those without a request for so long are closed; the busy ones close with an answer
+
+	endLook = 20 * time.Millisecond // between looks for idle connections of a gateway that ends
+	never   = time.Duration(math.MaxInt64)
 )
 
 // empty closes the idle connections of clients while the gateway is drained by
@@ -279,47 +293,63 @@
 			return
 		case <-tick.C:
 			if f.lame.Load() {
-				callers.closeQuiet(lameQuiet)
+				callers.closeQuiet(lameQuiet, lameQuiet)
 			}
 		}
 	}
 }
 
-// handOver ends a process whose socket others share: what comes from now on is
-// theirs, so it takes no more. Busy connections close with their next answer; that
-// meets no request half way, so the idle ones are only closed after some quiet.
-func handOver(callers *clients) {
-	callers.Close()
-	for left := stayFor; left > 0; left -= lameLook {
-		time.Sleep(lameLook)
-		callers.closeQuiet(stayFor / 2)
-	}
-}
-
-// shutdown takes what still comes for a while, answers what is held, and ends.
-// Danger: a request may cross the closing of its idle connection; its client
-// then sends it again on a new one. So idle connections go at once, while new
-// ones are still taken, and the listener goes later.
-func shutdown(c *config.Config, front *frontend, callers *clients, server *http.Server) error {
+// shutdown takes what still comes for a while, answers what is held, and ends. Took is
+// closed when no more is taken.
+//
+// Danger: a request may cross the closing of its idle connection; its client then sends
+// it again on a new one. So idle connections go at once, while new ones are still taken,
+// and the listener goes later. Where others share the socket, what comes from now on is
+// theirs: no more is taken, busy connections close with their next answer, which meets no
+// request half way, and idle ones only after some quiet.
+//
+// Danger: clients send on whatever stays open, and a request that is taken late may wait
+// past the kill. So what counts for all that is held is when that comes.
+func shutdown(c *config.Config, front *frontend, callers *clients, server *http.Server, took <-chan struct{}) error {
 	began := time.Now()
 	front.leaving.Store(true)
+	kill := began.Add(min(longest(c), killMost) + killAfter)
+	quiet := time.Duration(0)
 	if c.Inherited {
-		handOver(callers)
-	} else {
-		server.SetKeepAlivesEnabled(false)
-		time.Sleep(stayFor)
-		callers.takeLast()
+		quiet = stayFor / 2
+		callers.Close()
+	}
+	for end := began.Add(stayFor); time.Now().Before(end); time.Sleep(endLook) {
+		callers.closeQuiet(quiet, never)
+	}
+	if !c.Inherited {
+		callers.finish()
+	}
+	<-took
+	// A request may be on its way on a connection that was just made.
+	fresh := time.Now().Add(callers.cross)
+	answered := false
+	for callers.open() > 0 && time.Now().Before(kill.Add(-endMargin)) {
+		if !answered && !time.Now().Before(kill.Add(-lastMargin)) {
+			answered = true
+			front.loop.Post(ending{front.loop})
+		}
+		if time.Now().Before(fresh) {
+			callers.closeQuiet(0, never)
+		} else {
+			callers.closeQuiet(0, 0)
+		}
+		time.Sleep(endLook)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-time.Since(began))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close()
-		return fmt.Errorf("clients that were still open at the end: %w", err)
+	left := callers.open()
+	server.Close()
+	if left > 0 {
+		return fmt.Errorf("connections of clients that were still busy at the end: %d", left)
 	}
 	return nil
 }
 
-// longest is how long a request may be held.
+// longest is how long a request may be held, once it has come whole.
 func longest(c *config.Config) time.Duration {
 	most := 0.0
 	for _, class := range c.Classes {
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -2,9 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
+
+	"linnetbend/internal/sockets"
 )
 
 // guard is a client's connection that looks at the framing of what comes. Danger:
@@ -12,9 +18,19 @@
 // length unseen; passed on, the hidden request would run at a backend. Such a
 // connection is tainted, and so is one whose lengths can't be followed. It stands
 // for no check of the rest of a head; net/http does that.
+//
+// It also sees a client leave behind what that sent ahead, and is closed for being
+// idle only where no request has begun on it.
 type guard struct {
 	*net.TCPConn
 	tainted atomic.Bool
+	turn    atomic.Int32 // whose turn it is to speak
+
+	mu    sync.Mutex
+	begun bool // something has come since the last answer
+	shut  bool // closed as idle: what is read now is nobody's
+
+	ahead []byte // came behind the request that is being answered; the reader's own
 
 	// The reader's own. After a chunked request it looks no further: the connection ends with its answer.
 	done    bool
@@ -54,12 +70,105 @@
 	encodingName = "transfer-encoding"
 )
 
+// Whose turn it is on a client's connection.
+const (
+	clientsTurn  int32 = iota
+	gatewaysTurn       // a request has come and has no answer yet
+	answersTurn        // its answer is on its way
+)
+
+const mostAhead = 4 << 10 // bytes that a client may send behind an open request
+
+var errAhead = errors.New("the client sends on and waits for no answer")
+
+// Read is called by the server alone. While a request is answered the server asks for
+// one byte, to see the client leave.
 func (g *guard) Read(p []byte) (int, error) {
-	n, err := g.TCPConn.Read(p)
+	if len(p) == 1 && g.turn.Load() != clientsTurn {
+		return g.watch(p)
+	}
+	var n int
+	var err error
+	if len(g.ahead) > 0 {
+		if n = copy(p, g.ahead); n == len(g.ahead) {
+			g.ahead = nil
+		} else {
+			g.ahead = g.ahead[n:]
+		}
+	} else {
+		n, err = g.TCPConn.Read(p)
+	}
+	if n > 0 && !g.begin() {
+		return 0, net.ErrClosed
+	}
 	g.look(p[:n])
 	return n, err
 }
 
+// watch waits for the client's end and keeps what comes before it. Danger: with a byte
+// behind its request the end of a client would go unseen, by end or reset alike, and work
+// would be sent on for nobody. A client that sends on without an answer is taken for
+// gone: its end might stand behind any number of bytes. One that has its answer may.
+func (g *guard) watch(p []byte) (int, error) {
+	n, err := g.TCPConn.Read(p)
+	g.ahead = append(g.ahead, p[:n]...)
+	for err == nil {
+		room := mostAhead - len(g.ahead)
+		switch {
+		case room > 0:
+			g.ahead = slices.Grow(g.ahead, room)
+			n, err = g.TCPConn.Read(g.ahead[len(g.ahead) : len(g.ahead)+room])
+			g.ahead = g.ahead[:len(g.ahead)+n]
+		case g.turn.Load() == answersTurn:
+			p[0], g.ahead = g.ahead[0], g.ahead[1:]
+			g.look(p)
+			return 1, nil
+		default:
+			return 0, errAhead
+		}
+	}
+	return 0, err
+}
+
+// begin notes that something has come. It tells whether the connection still stands.
+func (g *guard) begin() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = true
+	return !g.shut
+}
+
+// follow takes in what the server does with the connection. What came ahead of an
+// answer is the next request.
+func (g *guard) follow(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		g.turn.Store(gatewaysTurn)
+	case http.StateIdle:
+		g.turn.Store(clientsTurn)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.begun = len(g.ahead) > 0
+	}
+}
+
+// answering notes that the request's answer is on its way.
+func (g *guard) answering() { g.turn.Store(answersTurn) }
+
+// closeIdle closes the connection, unless a request has begun on it, read or not. Danger:
+// the server takes a request for begun only when it has read its head. Closed in
+// between, the request would still be carried out and its answer reach nobody.
+func (g *guard) closeIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.begun || !sockets.Alive(g.TCPConn) {
+		return false
+	}
+	g.shut = true
+	g.Close()
+	return true
+}
+
 // look follows what was read, in order.
 func (g *guard) look(p []byte) {
 	for len(p) > 0 && !g.done {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -60,6 +60,7 @@
 		l   *Loop
 		ids map[string]struct{}
 	}
+	ending struct{ l *Loop } // the process will be killed soon
 )
 
 func (m arrival) Take()    { m.l.arrive(m.x) }
@@ -67,6 +68,7 @@
 func (m bodyWhole) Take()  { m.l.bodyWhole(m.a) }
 func (m news) Take()       { m.l.list(m.listing, m.kind) }
 func (m divided) Take()    { m.l.Handle(m.Fleet) }
+func (m ending) Take()     { m.l.endAll() }
 func (m handCall) Take()   { m.done <- m.l.takeByHand(m) }
 
 func (m attemptDone) Take() {
@@ -105,6 +107,7 @@
 	live  map[rules.RequestID]*exchange // until the last attempt has ended
 	held  map[string]struct{}           // the clients' own ids of those
 	ids   recent                        // and of requests taken lately
+	over  bool                          // what comes is turned away: the process ends
 	names map[rules.BackendID]listed    // the ready ones
 	ever  everListed
 	out   map[string]struct{} // backends out by hand; the module leaves them out
@@ -160,7 +163,7 @@
 
 // arrive gives a request an id of its own and hands it to the module.
 func (l *Loop) arrive(x *exchange) {
-	if l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
+	if l.over || l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
 		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
 		return
 	}
@@ -410,6 +413,22 @@
 	l.drop(x)
 }
 
+// endAll answers all that is held: refused where the module finds that harmless, else
+// failed. What passes through goes on until the process ends.
+func (l *Loop) endAll() {
+	l.over = true
+	for id, x := range l.live {
+		if !x.open {
+			continue
+		}
+		l.Handle(rules.TimeOver(id))
+		if x.open { // its body is still coming
+			l.Handle(rules.ClientGone{Request: id})
+			l.Fail(rules.Fail{Request: id})
+		}
+	}
+}
+
 // drop forgets a request that has its answer and nothing out.
 func (l *Loop) drop(x *exchange) {
 	if !x.open && x.out == 0 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -480,3 +480,7 @@
 	}
 	return f
 }
+
+// TimeOver is the event that a request's time is over: for a process that is about to
+// be ended, whatever time its clients would have.
+func TimeOver(id RequestID) Event { return Timer{Token: timerEnd<<56 | uint64(id)} }
