Look for the client's end right before a request is written

Cause: on a machine that stood still or is short of CPU, what a client sent and its end lie in the socket together; the owner may take the request, or a timer that is due, before the watch has its turn, and the attempt goes out for one that left long ago (backend.go attempt: nothing looked between the connection's being up and the write). Change: one look at the client's socket before the write; what it finds is told to the module as the client's leaving. The guard notes what its own watch saw.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -52,8 +52,8 @@
 // UnmarshalJSON reads an entry. Danger: one that can't be read would cost all the others
 // of its answer, drains among them; of that one, what can be read is kept with the fault.
 func (i *Instance) UnmarshalJSON(text []byte) error {
-	type plain Instance // without this method
-	if err := json.Unmarshal(text, (*plain)(i)); err != nil {
+	type entry Instance // without this method
+	if err := json.Unmarshal(text, (*entry)(i)); err != nil {
 		i.fault = err
 	}
 	return nil
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -38,6 +38,7 @@
 	header  http.Header // of a served answer
 	body    []byte
 	rest    *download // in place of body, where it passes through
+	left    bool      // nothing was written: the client has gone
 	load    string    // the answer's load report; "": none
 	told    []float64 // what it tells, in the order of the settings
 }
@@ -87,14 +88,19 @@
 // is the module's to cancel, where the settings allow that.
 func (x *exchange) withhold() {
 	for _, a := range x.attempts {
-		if !a.ended && !a.gone() {
+		if !a.ended && !a.isWritten() {
 			a.callOff()
 		}
 	}
 }
 
-// gone tells whether the request has been written whole.
-func (a *attempt) gone() bool {
+// deserted tells whether the client has gone. Danger: on a machine that has just stood
+// still, or is short of CPU, what the client sent and its end lie there together, and work
+// would go out for one that left long ago. So the last look comes before the write.
+func (x *exchange) deserted() bool { return x.conn != nil && x.conn.deserted() }
+
+// isWritten tells whether the request has been written to its end.
+func (a *attempt) isWritten() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.written
@@ -383,6 +389,11 @@
 		p.discard(c)
 		return a.unsent()
 	}
+	if a.x.deserted() {
+		a.release()
+		p.discard(c)
+		return result{outcome: rules.Moot, left: true}
+	}
 	c.SetDeadline(a.until)
 	if !a.latest.IsZero() && a.latest.Before(a.until) {
 		c.SetWriteDeadline(a.latest)
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"linnetbend/internal/config"
+	"linnetbend/internal/sockets"
 	"linnetbend/internal/testpeer"
 )
 
@@ -114,6 +115,47 @@
 	}
 }
 
+// A client leaves while the connection for its request is coming up, and the gateway, short
+// of CPU, has not looked at it since: no watch runs here. Nothing is written.
+func TestClientLeavesUnseen(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(*net.TCPConn){
+		"ends its sending": func(c *net.TCPConn) { c.CloseWrite() },
+		"closes":           func(c *net.TCPConn) { c.Close() },
+		"resets":           func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		for _, cancel := range []string{"true", "false"} {
+			t.Run(name+", cancel "+cancel, func(t *testing.T) {
+				t.Parallel()
+				backend, door := newPeer(t), newPeer(t)
+				l, g := newGatedLoop(t, strings.Replace(testpeer.Settings, `"cancel": true`, `"cancel": `+cancel, 1), backend)
+				client, err := net.Dial("tcp", door.Address())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer client.Close()
+				near, _ := door.Accept(t)
+				x := newExchange(l, "one", "lookup")
+				x.conn = &guard{TCPConn: near.(*net.TCPConn)}
+				l.Post(arrival{l, x})
+				wait(t, g.asked, "dial")
+				leave(client.(*net.TCPConn))
+				for end := time.Now().Add(patience); sockets.Alive(near) && time.Now().Before(end); {
+					time.Sleep(time.Millisecond) // its end is on its way through the kernel
+				}
+				g.open <- struct{}{}
+				nothing(t, backend, "after its client had left")
+				for over := false; !over; {
+					do(t, l, func() { over = len(l.live) == 0 })
+				}
+				if n := len(x.attempts); n != 1 || len(x.reply) != 0 {
+					t.Errorf("%d attempts, %d answers", n, len(x.reply))
+				}
+			})
+		}
+	}
+}
+
 // A keyed repeat whose connection comes up when the backends no longer remember the key
 // is not written: it might have its effect twice.
 func TestKeyedRepeatOutOfItsWindow(t *testing.T) {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -54,6 +54,7 @@
 	upload *upload     // where it is not; the client's time runs from its end
 	left   float64     // seconds that the client waits from then
 
+	conn  *guard         // the client's; nil: not known
 	story *stories.Begin // nil where nothing is exported
 
 	// reply takes the one final answer; the loop sends it and never waits.
@@ -178,7 +179,7 @@
 	case hides(r):
 		return nil, http.StatusBadRequest, errors.New("the length of the body is told in more than one way")
 	}
-	x := &exchange{method: r.Method, uri: originForm(r), host: r.Host, reply: make(chan answer, 1)}
+	x := &exchange{conn: guardOf(r), method: r.Method, uri: originForm(r), host: r.Host, reply: make(chan answer, 1)}
 	ask, err := f.parse(r)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	*net.TCPConn
 	tainted atomic.Bool
 	turn    atomic.Int32 // whose turn it is to speak
+	over    atomic.Bool  // the client's end was seen while it was the gateway's turn
 
 	mu    sync.Mutex
 	begun bool // something has come since the last answer
@@ -124,12 +126,19 @@
 			g.look(p)
 			return 1, nil
 		default:
+			g.over.Store(true)
 			return 0, errAhead
 		}
 	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) { // with that the server ends the watch
+		g.over.Store(true)
+	}
 	return 0, err
 }
 
+// deserted looks, without waiting, whether the client has gone.
+func (g *guard) deserted() bool { return g.over.Load() || sockets.Gone(g.TCPConn) }
+
 // begin notes that something has come. It tells whether the connection still stands.
 func (g *guard) begin() bool {
 	g.mu.Lock()
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -368,6 +368,9 @@
 
 // endAttempt takes an attempt's one end; what comes after it is dropped.
 func (l *Loop) endAttempt(a *attempt, res result) {
+	if res.left && !a.ended {
+		l.leave(a.x) // the server will see it too, and say it again
+	}
 	if a.ended {
 		return
 	}
