Say by plan what goes beyond quotas on the lab, and what it costs

Change: the auditor plays each account's store once more, counts what found no unit there and prices it by the plan.

--- a/cmd/elderctl/view.go
+++ b/cmd/elderctl/view.go
@@ -223,6 +223,12 @@
 	} else {
 		fmt.Fprintln(out, "no account went beyond its quota")
 	}
+	price := 0.0
+	for _, p := range v.Beyond {
+		fmt.Fprintf(out, "beyond quotas: %s %.1f of %.0f units; ", p.Plan, p.Beyond, p.Units)
+		price += p.Cost
+	}
+	fmt.Fprintf(out, "they cost %.4f of the worth asked for inside\n", price)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "gateway\ttaken\tCPU\ta request\tpeak MB\tdescriptors")
 	for _, p := range v.Processes {
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -115,6 +116,21 @@
 	}
 }
 
+// What is passed on beyond a quota is counted once, and priced by its plan: of three requests
+// of 3.5 units the first finds a full store of 4, the others 1.5 and 2.5 units.
+func TestBeyondQuotas(t *testing.T) {
+	r, l := rules(), good()
+	r.Plans[0].OverCost = 0.5
+	for i := range l.Tries {
+		l.Tries[i].Units = 3.5
+	}
+	want := []Beyond{{Plan: "basic", Units: 10.5, Beyond: 7, Cost: 0.5 * (3 + 3) / (7.0 / 3)}, {Plan: "hard"}}
+	got := Judge(r, l).Beyond
+	if len(got) != 2 || got[1] != want[1] || got[0].Beyond != 7 || got[0].Units != 10.5 || math.Abs(got[0].Cost-want[0].Cost) > 1e-9 {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
 // TestWhatIsNoBreach has what looks like a breach and is none.
 func TestWhatIsNoBreach(t *testing.T) {
 	for name, change := range map[string]func(*Log){
--- a/internal/lab/audit/log.go
+++ b/internal/lab/audit/log.go
@@ -32,6 +32,7 @@
 	Name         string
 	Rate, Burst  float64
 	Price        float64
+	OverCost     float64 // share of its worth that what is passed on beyond the quota costs
 	CeilingRate  float64
 	CeilingBurst float64
 	CeilingSlack float64
--- a/internal/lab/audit/quotas.go
+++ b/internal/lab/audit/quotas.go
@@ -12,6 +12,7 @@
 type use struct {
 	at    time.Time
 	units float64
+	worth float64 // of all of them, before the plan's price
 	id    string
 }
 
@@ -51,7 +52,7 @@
 		if t == nil || t.Bad != "" {
 			continue
 		}
-		all[t.Customer] = append(all[t.Customer], use{list[0].First, t.Units, id})
+		all[t.Customer] = append(all[t.Customer], use{list[0].First, t.Units, j.rules.Classes[t.Class].Worth, id})
 	}
 	type token struct{ front, id string }
 	had := map[token]bool{}
@@ -59,10 +60,10 @@
 		switch t := &j.log.Takes[i]; {
 		case t.Granted == 0 || t.Token != "" && !t.Gives && had[token{t.Front, t.Token}]:
 		case t.Gives:
-			all[t.Customer] = append(all[t.Customer], use{t.Sent, -t.Granted, t.Token})
+			all[t.Customer] = append(all[t.Customer], use{t.Sent, -t.Granted, -j.rules.TakeWorth * t.Granted, t.Token})
 		default:
 			had[token{t.Front, t.Token}] = true
-			all[t.Customer] = append(all[t.Customer], use{t.Over, t.Granted, t.Token})
+			all[t.Customer] = append(all[t.Customer], use{t.Over, t.Granted, j.rules.TakeWorth * t.Granted, t.Token})
 		}
 	}
 	for _, list := range all {
@@ -71,8 +72,8 @@
 	return all
 }
 
-// quotas holds all gateways together to each account's quota and ceiling.
-func (j *judge) quotas(v *Verdict) {
+// plans tells the plan of each account.
+func (j *judge) plans() map[uint64]int {
 	plans := map[uint64]int{}
 	for i := range j.log.Tries {
 		if j.log.Tries[i].Bad == "" {
@@ -82,6 +83,41 @@
 	for i := range j.log.Takes {
 		plans[j.log.Takes[i].Customer] = j.log.Takes[i].Plan
 	}
+	return plans
+}
+
+// beyond adds up by plan what was passed on and found no unit in its account's store: that
+// takes none, so it is counted once, unlike the depth of the furthest window.
+func (j *judge) beyond(asked []Service) []Beyond {
+	total := Service{}
+	for _, s := range asked {
+		total.add(s)
+	}
+	plans, all := j.plans(), make([]Beyond, len(j.rules.Plans))
+	for i := range all {
+		all[i].Plan = j.rules.Plans[i].Name
+	}
+	for customer, list := range j.passed() {
+		plan, sum := &j.rules.Plans[plans[customer]], &all[plans[customer]]
+		b := newBucket(plan.Rate, plan.Burst, j.log.From)
+		for _, u := range list {
+			sum.Units += u.units
+			if b.take(u.at, 0); plan.Rate <= 0 || u.units <= b.level {
+				b.take(u.at, u.units)
+				continue
+			}
+			sum.Beyond += u.units
+			if total.Asked > 0 {
+				sum.Cost += plan.OverCost * plan.Price * u.worth / total.Asked
+			}
+		}
+	}
+	return all
+}
+
+// quotas holds all gateways together to each account's quota and ceiling.
+func (j *judge) quotas(v *Verdict) {
+	plans := j.plans()
 	v.Worst.Percent = math.Inf(-1)
 	for customer, list := range j.passed() {
 		plan := &j.rules.Plans[plans[customer]]
--- a/internal/lab/audit/verdict.go
+++ b/internal/lab/audit/verdict.go
@@ -55,6 +55,14 @@
 	To       time.Duration `json:"to_ns"`
 }
 
+// Beyond is what all gateways together passed on for a plan's accounts.
+type Beyond struct {
+	Plan   string  `json:"plan"`
+	Units  float64 `json:"units"`
+	Beyond float64 `json:"beyond"` // of them, what found no unit in its account's store
+	Cost   float64 `json:"cost"`   // at the plan's price for that, as a share of the worth asked for inside all quotas
+}
+
 // Service is worth answered in time over worth asked for inside the quotas.
 type Service struct {
 	Name   string  `json:"name"`
@@ -78,6 +86,7 @@
 	Plans     []Service `json:"plans"`
 	Worst     Quota     `json:"worst_quota"`
 	Over      []Quota   `json:"over_quota,omitempty"` // accounts beyond the bound
+	Beyond    []Beyond  `json:"beyond_quotas"`        // by plan
 	Processes []Process `json:"processes"`
 	Counts    Counts    `json:"counts"`
 	Late      []string  `json:"late,omitempty"`
@@ -180,6 +189,7 @@
 	j.bad()
 	j.limits()
 	j.service(&v)
+	v.Beyond = j.beyond(v.Plans)
 	for _, w := range log.Late {
 		v.Late = append(v.Late, fmt.Sprintf("%s to %s: %s", j.at(w.From).Round(time.Millisecond), j.at(w.To).Round(time.Millisecond), w.What))
 	}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -260,7 +260,7 @@
 		TakeWorth: takeWorth, Slack: ruleSlack, DrainGrace: drainGrace, Overshoot: s.Overshoot, SpareUnits: s.SpareUnits, BadOwed: badOwed,
 		MemoryMB: s.MemoryMB, Files: s.Sockets}
 	for _, p := range planShapes {
-		plan := audit.Plan{Name: p.name, Rate: p.rate, Burst: p.burst(), Price: p.price}
+		plan := audit.Plan{Name: p.name, Rate: p.rate, Burst: p.burst(), Price: p.price, OverCost: p.overCost}
 		plan.CeilingRate, plan.CeilingBurst, plan.CeilingSlack = s.ceiling(&p)
 		r.Plans = append(r.Plans, plan)
 	}
