Hold the bound on a client's stated patience by a test

Cause: the bound came with the end of life and had no test of its own. Change: TestPatienceBeyondItsClass; no code.

--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -269,3 +271,23 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// What a client claims beyond its class's own time does not hold its request.
+func TestPatienceBeyondItsClass(t *testing.T) {
+	t.Parallel()
+	l, _ := newGatedLoop(t, testpeer.Settings, newPeer(t))
+	front := &frontend{loop: l, deploy: l.deploy}
+	for claimed, want := range map[string]float64{"3600000": 20, "20001": 20, "15000": 15} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(ask("GET", "lookup", "", leftHeader, claimed))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, _, err := front.read(httptest.NewRecorder(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := x.left + answerMargin; math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s ms: held for %g s, want %g", claimed, got, want)
+		}
+	}
+}
