Take a call that its caller broke off for no breach, and wait for what a cut took

TestAllArrivesOverGRPC: an exporter that ends calls off what it has out and sends it again (telemetry.run), and the collector's stand-in took a body cut short for a message that can't be read; over HTTP alike. TestCutInOneDirection: each door of the ways is read by a goroutine of its own, so what was sent in the cut could come to its door after the test had healed it; TestLoss had the same hole at its end. Change: the stand-in reads a body whole before it unpacks it, counts what was broken off, and calls a breach only what came whole. The ways count what a trouble took, and the tests wait for that count instead of for nothing. TestBrokenOffIsNoFlaw forces the break after the stand-in's look at the body and fails without the change.

--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -5,9 +5,11 @@
 package collector
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -68,6 +70,7 @@
 	points   map[Series]Point
 	messages int
 	refused  int // items
+	broken   int // calls that their callers broke off
 	flaws    []string
 }
 
@@ -169,6 +172,9 @@
 		t, refuse, lost := c.draw()
 		body, err := read(r)
 		switch {
+		case errors.Is(err, errBrokenOff):
+			c.brokeOff()
+			panic(http.ErrAbortHandler)
 		case err != nil:
 			c.flaw("a message that can't be read: %v", err)
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -217,26 +223,49 @@
 	if got := r.Header.Get("Content-Type"); got != "application/x-protobuf" {
 		return nil, fmt.Errorf("content type %q", got)
 	}
-	body := io.Reader(r.Body)
+	body, err := bodyOf(r)
+	if err != nil {
+		return nil, err
+	}
 	switch got := r.Header.Get("Content-Encoding"); got {
 	case "":
+		return body, nil
 	case "gzip":
-		z, err := gzip.NewReader(body)
-		if err != nil {
-			return nil, err
-		}
-		defer z.Close()
-		body = z
+		return unpack(body)
 	default:
 		return nil, fmt.Errorf("content encoding %q", got)
 	}
-	return whole(body)
 }
 
+// errBrokenOff is what a body comes to that its caller did not send to its end. That
+// breaks nothing: a caller may give up, and an exporter that ends does so.
+var errBrokenOff = errors.New("it was broken off")
+
+// bodyOf reads a body as it came. Danger: one that was broken off must be told from one
+// that came whole and makes no sense, so nothing is unpacked before all of it is there.
+func bodyOf(r *http.Request) ([]byte, error) {
+	body, err := whole(r.Body)
+	if err != nil && !errors.Is(err, errTooLong) {
+		err = fmt.Errorf("%w: %w", errBrokenOff, err)
+	}
+	return body, err
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	defer z.Close()
+	return whole(z)
+}
+
+var errTooLong = fmt.Errorf("more than %d bytes", mostMessage)
+
 func whole(r io.Reader) ([]byte, error) {
 	text, err := io.ReadAll(io.LimitReader(r, mostMessage+1))
 	if len(text) > mostMessage {
-		return nil, fmt.Errorf("more than %d bytes", mostMessage)
+		return nil, errTooLong
 	}
 	return text, err
 }
@@ -312,6 +341,19 @@
 	}
 }
 
+func (c *Collector) brokeOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken++
+}
+
+// BrokenOff is how many calls their callers broke off before they had come whole.
+func (c *Collector) BrokenOff() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
 // Flaws are what broke the specification's rules.
 func (c *Collector) Flaws() []string {
 	c.mu.Lock()
--- a/internal/standin/collector/collector_test.go
+++ b/internal/standin/collector/collector_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace"
@@ -21,6 +24,7 @@
 
 	"linnetbend/internal/otlpfile"
 	"linnetbend/internal/standin/link"
+	"linnetbend/internal/testpeer"
 )
 
 func start(t *testing.T) *Collector {
@@ -176,3 +180,61 @@
 		t.Error(errors.New(strings.Join(c.Flaws(), "; ")))
 	}
 }
+
+// Who breaks off a call half way breaks no rule, over HTTP as over gRPC; one that came
+// whole and can't be read does, and so does one that says less than it holds.
+func TestBrokenOffIsNoFlaw(t *testing.T) {
+	for name, k := range map[string]struct{ path, kind string }{
+		"http": {"/v1/traces", "application/x-protobuf"},
+		"grpc": {"/opentelemetry.proto.collector.trace.v1.TraceService/Export", "application/grpc"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t)
+			protocols := new(http.Protocols)
+			protocols.SetHTTP1(name == "http")
+			protocols.SetUnencryptedHTTP2(name == "grpc")
+			transport := &http.Transport{Protocols: protocols, ExpectContinueTimeout: testpeer.Patience}
+			defer transport.CloseIdleConnections()
+			call := func(ctx context.Context, body io.Reader) error {
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address("x")+k.path, body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("Content-Type", k.kind)
+				req.Header.Set("Te", "trailers")
+				req.Header.Set("Expect", "100-continue") // it comes when the body is read
+				resp, err := transport.RoundTrip(req)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				return err
+			}
+			reading := make(chan struct{})
+			ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{Got100Continue: func() { close(reading) }})
+			half, rest := io.Pipe()
+			defer rest.Close()
+			done := make(chan error, 1)
+			go func() { done <- call(ctx, half) }()
+			testpeer.Wait(t, reading, "look at the body")
+			if _, err := rest.Write([]byte{0, 0}); err != nil {
+				t.Fatal(err)
+			}
+			rest.CloseWithError(errors.New("given up"))
+			if err := <-done; err == nil {
+				t.Error("it was answered")
+			}
+			for end := time.Now().Add(testpeer.Patience); c.BrokenOff() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			if c.BrokenOff() != 1 || len(c.Flaws()) != 0 {
+				t.Errorf("%d broken off, flaws %q", c.BrokenOff(), c.Flaws())
+			}
+			if err := call(context.Background(), bytes.NewReader([]byte{0, 0, 0, 0, 9, 1})); err != nil {
+				t.Fatal(err)
+			}
+			if c.BrokenOff() != 1 || len(c.Flaws()) != 1 {
+				t.Errorf("after one that can't be read: %d broken off, flaws %q", c.BrokenOff(), c.Flaws())
+			}
+		})
+	}
+}
--- a/internal/standin/collector/grpc.go
+++ b/internal/standin/collector/grpc.go
@@ -1,8 +1,6 @@
 package collector
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
@@ -32,6 +30,9 @@
 		}
 		body, err := readCall(r)
 		switch {
+		case errors.Is(err, errBrokenOff):
+			c.brokeOff()
+			panic(http.ErrAbortHandler)
 		case err != nil:
 			c.flaw("a call that can't be read: %v", err)
 			end(13, nil)
@@ -82,7 +83,7 @@
 	if r.ProtoMajor != 2 || r.Header.Get("Content-Type") != "application/grpc" || r.Header.Get("Te") != "trailers" {
 		return nil, fmt.Errorf("%s with %q and %q is no call of gRPC", r.Proto, r.Header.Get("Content-Type"), r.Header.Get("Te"))
 	}
-	frame, err := whole(r.Body)
+	frame, err := bodyOf(r)
 	if err != nil {
 		return nil, err
 	}
@@ -93,12 +94,7 @@
 	case frame[0] == 0:
 		return body, nil
 	case frame[0] == 1 && r.Header.Get("Grpc-Encoding") == "gzip":
-		z, err := gzip.NewReader(bytes.NewReader(body))
-		if err != nil {
-			return nil, err
-		}
-		defer z.Close()
-		return whole(z)
+		return unpack(body)
 	}
 	return nil, errors.New("a frame that is packed in no way that was told")
 }
--- a/internal/standin/ways/ways.go
+++ b/internal/standin/ways/ways.go
@@ -49,6 +49,7 @@
 	hosts    map[string]string // names, by the host that they send from
 	troubles map[pair]Trouble
 	held     int
+	lost     int // datagrams that a direction's trouble took
 	conns    map[net.Conn]struct{}
 	closed   bool
 	wg       sync.WaitGroup
@@ -143,6 +144,14 @@
 	w.wg.Wait()
 }
 
+// Lost is how many datagrams a direction's trouble has taken so far. What was sent
+// before a direction heals may not have come to its door yet.
+func (w *Ways) Lost() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
 // from names who sends from a host; "": nobody of the site.
 func (w *Ways) from(a net.Addr) string {
 	host, _, err := net.SplitHostPort(a.String())
@@ -175,7 +184,12 @@
 	w := d.w
 	w.mu.Lock()
 	t := w.troubles[pair{from, d.name}]
-	if w.closed || t.Cut || t.Loss > 0 && w.rng.Float64() < t.Loss || w.held >= mostHeld {
+	if t.Cut || t.Loss > 0 && w.rng.Float64() < t.Loss {
+		w.lost++
+		w.mu.Unlock()
+		return
+	}
+	if w.closed || w.held >= mostHeld {
 		w.mu.Unlock()
 		return
 	}
--- a/internal/standin/ways/ways_test.go
+++ b/internal/standin/ways/ways_test.go
@@ -64,6 +64,17 @@
 	return w, add(t, w, "a"), add(t, w, "b")
 }
 
+// lost waits until so many datagrams have been lost: the doors are read by goroutines
+// of their own, so what was sent may come to one after its direction has healed.
+func lost(t *testing.T, w *Ways, n int) {
+	t.Helper()
+	for end := time.Now().Add(patience); w.Lost() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d were lost of %d", w.Lost(), n)
+		}
+	}
+}
+
 func TestCutInOneDirection(t *testing.T) {
 	w, a, b := two(t)
 	w.Set("a", "b", Trouble{Cut: true})
@@ -72,6 +83,7 @@
 	if got := a.gets(patience); got != "two" {
 		t.Errorf("the way back brought %q", got)
 	}
+	lost(t, w, 1)
 	w.Set("a", "b", Trouble{})
 	a.send(t, b, "three")
 	if got := b.gets(patience); got != "three" {
@@ -95,18 +107,21 @@
 func TestLoss(t *testing.T) {
 	w, a, b := two(t)
 	w.Set("a", "b", Trouble{Loss: 0.5})
-	for range 200 {
-		a.send(t, b, "x")
-		time.Sleep(100 * time.Microsecond)
-	}
-	w.Set("a", "b", Trouble{})
-	a.send(t, b, "end")
+	const sent = 200
 	n := 0
-	for b.gets(patience) == "x" {
-		n++
+	for i := range sent { // one at a time, each lost or come before the next
+		a.send(t, b, "x")
+		for end := time.Now().Add(patience); n+w.Lost() <= i; {
+			if b.gets(time.Millisecond) == "x" {
+				n++
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d came and %d were lost of %d", n, w.Lost(), i+1)
+			}
+		}
 	}
-	if n < 50 || n > 150 {
-		t.Errorf("%d of 200 came with half lost", n)
+	if n < 50 || n > 150 || n+w.Lost() != sent {
+		t.Errorf("%d of %d came with half lost, %d were", n, sent, w.Lost())
 	}
 }
 
