Take an answer with no length for whole at its connection's end, not at a reset

Change: such a body is read to its connection's end; a reset, a time-out and the bound on what an answer may take are no end. Also: the end of a process counted the grace for late answers as time before its kill (longest in gateway.go), so settings with a grace over 0.15 s had it killed at work; TestKilledByTheDeadlines.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -484,6 +484,21 @@
 	return r
 }
 
+// untilEnd is a body that has no end but its connection's. Danger: a reset is no end, since
+// a process that dies leaves one, and neither is the bound on what an answer may take.
+type untilEnd struct {
+	io.ReadCloser
+	left *io.LimitedReader
+}
+
+func (b untilEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.left.N <= 0 {
+		err = errTooLong
+	}
+	return n, err
+}
+
 // answer reads what comes back, a short body whole, and tells whether the
 // connection may be used again. Of a long one the rest is left to be passed on.
 func (c *backendConn) answer(method string) (result, bool) {
@@ -498,7 +513,7 @@
 			continue
 		}
 		if !sockets.Delimited(resp) {
-			return result{outcome: rules.Broken}, false
+			resp.Body = untilEnd{resp.Body, c.left}
 		}
 		if resp.ContentLength > mostBulk {
 			return result{outcome: rules.Broken}, false
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -224,3 +225,58 @@
 		t.Errorf("body %q, %d open", got.body, p.open)
 	}
 }
+
+// An answer with no length ends with its connection's end, and with nothing else: one that
+// is reset on its way has failed, is not sent on as if it were whole, and may have run. The
+// reset of a long one comes when its client has seen the answer begin.
+func TestAnswerWithNoLength(t *testing.T) {
+	t.Parallel()
+	short, long := []byte("every second Tuesday"), noise(3, 3*inlineBody)
+	for name, body := range map[string][]byte{"short": short, "long": long} {
+		t.Run(name+", ended", func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			_, answers := r.client(t, ask("POST", "payment", "", keyHeader, ""))
+			conn, br := backend.Accept(t)
+			readRequest(t, br)
+			go func() {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+				conn.Write(body)
+				conn.Close()
+			}()
+			resp := wait(t, answers, "answer")
+			got, err := io.ReadAll(resp.Body)
+			if resp.StatusCode != http.StatusOK || err != nil || !bytes.Equal(got, body) {
+				t.Errorf("status %d, %d bytes of %d, %v", resp.StatusCode, len(got), len(body), err)
+			}
+		})
+		t.Run(name+", reset", func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			r := newRig(t, backend)
+			_, answers := r.client(t, ask("POST", "payment", "", keyHeader, ""))
+			conn, br := backend.Accept(t)
+			readRequest(t, br)
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			conn.Write(body)
+			var resp *http.Response
+			if len(body) > inlineBody {
+				resp = wait(t, answers, "answer that has begun")
+			}
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+			if resp == nil {
+				resp = wait(t, answers, "answer")
+			}
+			_, err := io.ReadAll(resp.Body)
+			if begun := len(body) > inlineBody; begun != (resp.StatusCode == http.StatusOK) || begun != (err != nil) ||
+				resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
+				t.Errorf("status %d, %v", resp.StatusCode, err)
+			}
+			if n := len(backend.Conns); n > 0 {
+				t.Errorf("%d more connections for what may have run", n)
+			}
+		})
+	}
+}
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -291,3 +291,22 @@
 		}
 	}
 }
+
+// The end counts from the earliest kill that the deadlines allow. A grace for late answers
+// comes on top of a deadline and of no kill.
+func TestKilledByTheDeadlines(t *testing.T) {
+	for _, k := range []struct {
+		deadline, slack string
+		want            time.Duration
+	}{{"1", "0.01", 1700 * time.Millisecond}, {"1", "1", 1700 * time.Millisecond}, {"2.9", "0.5", 3600 * time.Millisecond},
+		{"3", "0", 3700 * time.Millisecond}, {"20", "0.01", 3700 * time.Millisecond}} {
+		text := strings.ReplaceAll(testpeer.Settings, `"deadlineS": 20`, `"deadlineS": `+k.deadline)
+		c, err := config.Parse([]byte(testpeer.ConfigText("127.0.0.1:1", strings.Replace(text, `"answerSlackS": 0.01`, `"answerSlackS": `+k.slack, 1))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := killed(&c); got != k.want {
+			t.Errorf("deadline %s s, slack %s s: killed after %v, want %v", k.deadline, k.slack, got, k.want)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -313,7 +313,7 @@
 func shutdown(c *config.Config, front *frontend, callers *clients, server *http.Server, took <-chan struct{}) error {
 	began := time.Now()
 	front.leaving.Store(true)
-	kill := began.Add(min(longest(c), killMost) + killAfter)
+	kill := began.Add(killed(c))
 	quiet := time.Duration(0)
 	if c.Inherited {
 		quiet = stayFor / 2
@@ -349,13 +349,17 @@
 	return nil
 }
 
-// longest is how long a request may be held, once it has come whole.
+// longest is the longest time that a client may wait for its answer.
 func longest(c *config.Config) time.Duration {
 	most := 0.0
 	for _, class := range c.Classes {
 		most = max(most, class.Deadline)
 	}
-	return seconds(most + c.AnswerSlack)
+	return seconds(most)
 }
 
+// killed is how long after it was asked to end a process is killed, at the earliest. The
+// grace that answers have after their deadline puts nothing off.
+func killed(c *config.Config) time.Duration { return min(longest(c), killMost) + killAfter }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -116,7 +116,7 @@
 func newLoop(c *config.Config, p *pools, k owner.Counter, onListed func()) *Loop {
 	l := &Loop{Owner: owner.New(c.Settings, c.Seed, k), deploy: &c.Deployment, pools: p, onListed: onListed,
 		live: map[rules.RequestID]*exchange{}, held: map[string]struct{}{}, names: map[rules.BackendID]listed{}, out: map[string]struct{}{}}
-	l.ids.span = longest(c).Seconds()
+	l.ids.span = longest(c).Seconds() + c.AnswerSlack
 	l.Start(l)
 	return l
 }
