Refuse an answer that is no list, and bound the watch's connection by itself

And a new connection for a watch was bounded by the call alone, 5 s, while what the agent has to tell binds within 2 s, watch or no watch. Change: an answer has to name its generation and its instances; a dial has 0.5 s. Ruled out: the list in the configuration is read as before, so no start is refused for it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	watchWait    = 4 * time.Second        // how long a watch may stand open
 	watchGrace   = 1 * time.Second        // and how long after that its answer may take
 	listTimeout  = 2 * time.Second        // for a call that does not wait
+	dialLimit    = 500 * time.Millisecond // for a connection to come up: what is told binds within 2 s, so there is time for another
 	watchRetry   = 100 * time.Millisecond // pause after a failed call: a watch lapses after 200 ms
 	mostListing  = 4 << 20                // bytes of one answer
 	listPath     = "/registry/instances"
@@ -122,8 +124,20 @@
 // NewWatcher follows the discovery at an address. Heard is told each answer, in the
 // goroutine of Run.
 func NewWatcher(address string, heard func(Listing)) *Watcher {
+	d := net.Dialer{KeepAlive: -1}
+	return newWatcher(address, heard, d.DialContext)
+}
+
+// newWatcher does so over connections of connect. Danger: one that never comes up would
+// take the time of a whole watch, and what discovery has to tell binds though no watch is open.
+func newWatcher(address string, heard func(Listing), connect func(ctx context.Context, network, address string) (net.Conn, error)) *Watcher {
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialLimit)
+		defer cancel()
+		return connect(ctx, network, address)
+	}
 	return &Watcher{address: address, heard: heard,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2, DialContext: bounded}}}
 }
 
 // Run asks until ctx ends: once for the list, from then on for changes. A
@@ -151,6 +165,27 @@
 	}
 }
 
+// read reads an answer. Danger: what names no version or no instances at all, an empty object or
+// another service's word, would be taken for the news that all backends have gone.
+func read(text []byte) (Listing, error) {
+	var raw struct {
+		Generation *int64
+		Reset      bool
+		Instances  json.RawMessage // null where none has changed
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Listing{}, fmt.Errorf("list: %w", err)
+	}
+	if raw.Generation == nil || raw.Instances == nil {
+		return Listing{}, errors.New("list: it names no generation or no instances")
+	}
+	l := Listing{Generation: *raw.Generation, Reset: raw.Reset}
+	if err := json.Unmarshal(raw.Instances, &l.Instances); err != nil {
+		return Listing{}, fmt.Errorf("list: %w", err)
+	}
+	return l, nil
+}
+
 func (w *Watcher) ask(ctx context.Context) (l Listing, err error) {
 	url, limit := "http://"+w.address+listPath, listTimeout
 	if w.listed {
@@ -179,9 +214,9 @@
 		w.listed = false // the version may be the trouble: start from the whole list
 		return l, fmt.Errorf("status %s", resp.Status)
 	}
-	if err := json.Unmarshal(body, &l); err != nil {
+	if l, err = read(body); err != nil {
 		w.listed = false
-		return l, fmt.Errorf("list: %w", err)
+		return l, err
 	}
 	if w.listed && !l.Reset && l.Generation < w.since {
 		// Danger: what it calls changes is older than what is known, and would put back what has gone.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"linnetbend/internal/testpeer"
 	"linnetbend/internal/wire"
@@ -40,6 +42,12 @@
 		{"since=51&timeout_ms=4000", Listing{Generation: 50}, false, true}, // changes that are older than what is known
 		{"", Listing{Generation: 50, Reset: true}, true, false},
 		{"since=50&timeout_ms=4000", strings.Repeat(" ", mostListing) + `{"generation":52}`, false, true}, // without end
+		{"since=50&timeout_ms=4000", "{}", false, true},                                                   // no list at all, and no news that all have gone
+		{"", "{}", false, true},
+		{"", "null", false, true},
+		{"", `{"generation": 51, "reset": true}`, false, true},
+		{"", `{"instances": []}`, false, true},
+		{"", Listing{Generation: 50, Reset: true}, true, false},
 		{"since=50&timeout_ms=4000", "{\n  \"generation\": 52,\n\t\"instances\" : [ ]\r\n}\n", false, false},
 	} {
 		if got := testpeer.Wait(t, r.Calls, "call"); got != step.query {
@@ -59,6 +67,38 @@
 	}
 }
 
+// A connection for the watch that never comes up is given up long before the call would be,
+// so that another is tried within the time in which a drain binds.
+func TestWatchWhoseConnectionNeverComesUp(t *testing.T) {
+	r := testpeer.NewRegistry(t)
+	hung := make(chan time.Duration, 1) // the time that the first connection is given
+	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if end, bounded := ctx.Deadline(); bounded {
+			select {
+			case hung <- time.Until(end):
+				<-ctx.Done()
+				return nil, ctx.Err()
+			default:
+			}
+		}
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	heard := make(chan Listing, 1)
+	w := newWatcher(r.Address(), func(l Listing) { heard <- l }, connect)
+	w.since, w.listed = 41, true // a watch, which may wait
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	if given := testpeer.Wait(t, hung, "first connection"); given > dialLimit {
+		t.Errorf("it is given %v", given)
+	}
+	r.Answers <- Listing{Generation: 42}
+	if l := testpeer.Wait(t, heard, "list"); l.Generation != 42 {
+		t.Errorf("heard %+v", l)
+	}
+}
+
 func TestInstances(t *testing.T) {
 	d := &wire.Deployment{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
 	b, err := Instance{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
