Let a local share be overdrawn by one request larger than all of it

Cause: a request of more units than a local share ever holds (burst over the gateways of its customer, takeLocal in rules/state.go) was refused by it always, so while the counter could not be asked, or where there is none, whole classes had no service at all. Ruled out: the leases, which ask for what a request needs; the bound on work in flight (no difference with it wide open there). Change: a full share lets one such request in and is overdrawn by it; what is beyond is earned before the next. Not under a ceiling, and not for checks, whose bound is stated. TestARequestLargerThanTheShareIsLetIn fails without the change.

--- a/rules/checks.go
+++ b/rules/checks.go
@@ -74,7 +74,7 @@
 			units = min(units, j.Units)
 			g.spend(c, units)
 		} else if !g.set.Counter || g.now < c.restTill {
-			c.takeLocal(g.now, 0)
+			c.takeLocal(g.now, 0, 0)
 			shared, units = false, min(math.Floor(max(c.local, 0)), j.Units)
 			c.local -= units
 			c.owed += units
@@ -90,7 +90,7 @@
 		return Checked{Remaining: math.Inf(1), Exact: true}
 	}
 	floor := g.roll(c)
-	c.takeLocal(g.now, 0)
+	c.takeLocal(g.now, 0, 0)
 	a := Checked{Window: c.window, Remaining: max(c.local, 0)}
 	if g.set.Counter && c.known > 0 && g.now >= c.restTill {
 		// The total as last seen, with what it has not been told yet; others may have taken more since.
@@ -121,7 +121,7 @@
 			back = min(e.Units, c.terms.allowance)
 			c.owed -= back
 			c.dryUntil = 0
-			c.takeLocal(g.now, 0)
+			c.takeLocal(g.now, 0, 0)
 			c.local = min(c.local+back, c.terms.localBurst)
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -887,7 +887,7 @@
 				}
 				continue
 			case !g.set.Counter || g.now < c.restTill:
-				if !c.takeLocal(g.now, j.Units) {
+				if !c.takeLocal(g.now, j.Units, j.share()) {
 					if g.set.Counter && c.terms.exact && c.restTill+g.latency < j.giveUp {
 						return // held: a crowded counter may have room in a moment
 					}
@@ -920,7 +920,7 @@
 // would add up to more than the quota. So leases count against the share too.
 func (g *Gateway) spend(c *customer, units float64) {
 	c.units -= units
-	c.takeLocal(g.now, 0)
+	c.takeLocal(g.now, 0, 0)
 	c.local = max(c.local-units, -c.terms.localBurst)
 }
 
@@ -1111,7 +1111,7 @@
 	if grant < k.units {
 		if g.wide() {
 			// Danger: a customer at its limit would get the local share of one gateway after another.
-			c.takeLocal(g.now, 0)
+			c.takeLocal(g.now, 0, 0)
 			c.local = min(c.local, 0)
 		}
 		// Danger: another gateway may be about to take back what it wrote off twice; until it has, the store
--- a/rules/state.go
+++ b/rules/state.go
@@ -81,6 +81,17 @@
 	return NoQuota
 }
 
+// share is how much of a local share has to be there for a request. Danger: one of more units than the share
+// ever holds would never be let in, however long its customer stayed away. It may have all of a full one, and
+// what it takes beyond that is earned before the next. Under a ceiling nothing goes beyond, and a check, which
+// may ask for all of a store at once, has what there is.
+func (j *job) share() float64 {
+	if j.check || j.customer.terms.ceiling {
+		return j.Units
+	}
+	return min(j.Units, j.customer.terms.localBurst)
+}
+
 // patience is how long the clients of a class and plan wait for one try.
 type patience struct{ last, known float64 }
 
@@ -308,10 +319,10 @@
 	return k, true
 }
 
-// takeLocal spends from the customer's share at this gateway.
-func (c *customer) takeLocal(now, units float64) bool {
+// takeLocal spends units from the customer's share at this gateway, if the share holds least.
+func (c *customer) takeLocal(now, units, least float64) bool {
 	c.local = min(c.local+c.terms.localRate*(now-c.localAt), c.terms.localBurst)
-	if c.localAt = now; c.local < units {
+	if c.localAt = now; c.local < least {
 		return false
 	}
 	c.local -= units
