--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -232,17 +232,21 @@
 func TestAnswerWithNoLength(t *testing.T) {
 	t.Parallel()
 	short, long := []byte("every second Tuesday"), noise(3, 3*inlineBody)
+	asked := func(t *testing.T) (backend *peer, conn net.Conn, answers <-chan *http.Response) {
+		t.Parallel()
+		backend = newPeer(t)
+		r := newRig(t, backend)
+		_, answers = r.client(t, ask("POST", "payment", "", keyHeader, ""))
+		conn, br := backend.Accept(t)
+		readRequest(t, br)
+		return backend, conn, answers
+	}
 	for name, body := range map[string][]byte{"short": short, "long": long} {
+		said := append([]byte("HTTP/1.1 200 OK\r\n\r\n"), body...)
 		t.Run(name+", ended", func(t *testing.T) {
-			t.Parallel()
-			backend := newPeer(t)
-			r := newRig(t, backend)
-			_, answers := r.client(t, ask("POST", "payment", "", keyHeader, ""))
-			conn, br := backend.Accept(t)
-			readRequest(t, br)
+			_, conn, answers := asked(t)
 			go func() {
-				io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
-				conn.Write(body)
+				conn.Write(said)
 				conn.Close()
 			}()
 			resp := wait(t, answers, "answer")
@@ -252,14 +256,8 @@
 			}
 		})
 		t.Run(name+", reset", func(t *testing.T) {
-			t.Parallel()
-			backend := newPeer(t)
-			r := newRig(t, backend)
-			_, answers := r.client(t, ask("POST", "payment", "", keyHeader, ""))
-			conn, br := backend.Accept(t)
-			readRequest(t, br)
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
-			conn.Write(body)
+			backend, conn, answers := asked(t)
+			conn.Write(said)
 			var resp *http.Response
 			if len(body) > inlineBody {
 				resp = wait(t, answers, "answer that has begun")
