Make a guarded connection in one place of the gateway's tests, and correct a comment

Two tests made the same connection and guard line by line. Delimited in internal/sockets still said that a body which ends with its connection is never whole; since answers with no length are served, that is the reader's to tell.

--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -211,15 +211,8 @@
 // bytes have been read, and the server has not seen them yet.
 func TestClosedAsIdleWhileARequestIsRead(t *testing.T) {
 	t.Parallel()
-	far := newPeer(t)
 	for _, readFirst := range []bool{true, false} {
-		client, err := net.Dial("tcp", far.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		near, _ := far.Accept(t)
-		g := &guard{TCPConn: near.(*net.TCPConn)}
+		client, g := guarded(t)
 		io.WriteString(client, "GET ")
 		p := make([]byte, 4)
 		if readFirst {
--- a/internal/gateway/leave_test.go
+++ b/internal/gateway/leave_test.go
@@ -121,17 +121,23 @@
 	})
 }
 
-// What a client sends right behind an answer that it is just getting is its next request.
-func TestNextRequestBesideTheAnswer(t *testing.T) {
-	t.Parallel()
+// guarded is a client's connection, and its guard with no server behind it.
+func guarded(t *testing.T) (client net.Conn, g *guard) {
+	t.Helper()
 	far := newPeer(t)
 	client, err := net.Dial("tcp", far.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
+	t.Cleanup(func() { client.Close() })
 	near, _ := far.Accept(t)
-	g := &guard{TCPConn: near.(*net.TCPConn)}
+	return client, &guard{TCPConn: near.(*net.TCPConn)}
+}
+
+// What a client sends right behind an answer that it is just getting is its next request.
+func TestNextRequestBesideTheAnswer(t *testing.T) {
+	t.Parallel()
+	client, g := guarded(t)
 	g.follow(http.StateActive)
 	g.answering()
 	next := ask("POST", "booking", strings.Repeat("x", 3*mostAhead))
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -71,7 +71,8 @@
 }
 
 // Delimited tells whether the end of a body is told by a length or by chunks.
-// Danger: one that ends with its connection looks whole when it was cut.
+// Where neither tells it, the connection's end does. Danger: a reset or a bound of the
+// reader's own must not pass for that.
 func Delimited(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
