Review case 2: chunked long bodies grow the gateway's memory over its limit

Cause: the timer of an attempt lasts as long as the slowest upload allowed, 24 minutes for a chunked body, and keeps the attempt with all that it refers to after it has ended. Nothing is fixed.

--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -1,134 +1,104 @@
-// Command case2 plays case 2 of the review: a backend is started anew, and the list tells that some seconds late,
-// while the new process gives long answers.
+// Command case2 plays case 2 of the review: clients send bookings with long bodies whose length is not told ahead.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"elderyard/review/rig"
 )
 
 const (
-	backends    = 8
-	timeLeft    = 1800 * time.Millisecond
-	interval    = 20 * time.Millisecond // between requests; of a customer, 0.4 s
-	customers   = 20
-	crashAfter  = 5 * time.Second
-	downFor     = time.Second
-	listLateBy  = 5 * time.Second // the list is seconds late
-	listedFor   = 3 * time.Second // of requests after the list has told the start
-	answerBytes = 256 << 10
-	chunkBytes  = 8 << 10
-	minWork     = 110 * time.Millisecond // before the first byte of an answer
-	maxWork     = 130 * time.Millisecond
-	chunkEvery  = 100 * time.Millisecond // so an answer takes 3.2 s
+	backends  = 8
+	memoryMB  = 48  // the pages name 32 to 192 MB
+	sockets   = 512 // and 256 to 1,024 descriptors
+	perSecond = 140 // requests, as many as the pages name for a gateway; half of them are bookings
+	customers = 28
+	playFor   = 105 * time.Second
+	timeLeft  = 1800 * time.Millisecond
+	bodyBytes = 66_000 // just over 64 KiB
 )
 
+// headers are those of a usual client, beside the ones that the protocol names.
+var headers = "User-Agent: residents-app/4.2 (phone)\r\nAccept: application/json\r\nAccept-Language: fr-MU,fr;q=0.9,en;q=0.8\r\nCookie: session=" +
+	strings.Repeat("0123456789abcdef", 64) + "\r\n"
+
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) (broken bool, err error) {
-	var mu sync.Mutex
-	ends := map[string]error{} // of the answers, by request
 	var list []*rig.Backend
 	for n := range backends {
 		b := r.NewBackend(fmt.Sprintf("s-%d", n), n/2)
-		b.Answer = func(conn net.Conn, a rig.Attempt) bool {
-			err := giveLongAnswer(conn)
-			if err != nil {
-				r.Log("backend %s: %s: its answer broke: %v", a.Backend, a.ID, err)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			ends[a.ID] = err
-			return err == nil
-		}
+		b.Answer = rig.AnswerShort
 		list = append(list, b)
 	}
+	r.Quiet = true
 	discovery, counter, err := r.StartSite(list)
 	if err != nil {
 		return false, err
 	}
-	g, err := r.StartGateway(rig.GatewayOptions{Name: "n0", Discovery: discovery.Address, Counter: counter.Address, Settings: rig.Settings(2, 0, rig.Classes)})
+	g, err := r.StartGateway(rig.GatewayOptions{Name: "n0", Discovery: discovery.Address, Counter: counter.Address,
+		Settings: rig.Settings(2, 0, rig.Classes), MemoryMB: memoryMB, Sockets: sockets})
 	if err != nil {
 		return false, err
 	}
-	restarted := list[0]
-	failed := make(chan error, 1)
-	if rig.Trouble() {
-		go func() {
-			time.Sleep(crashAfter)
-			restarted.Crash()
-			time.Sleep(downFor)
-			instance := restarted.Instance
-			instance.StartedAtMs = time.Now().UnixMilli()
-			if err := restarted.Restart(); err != nil {
-				failed <- err
+	var sent, served, killed atomic.Int64
+	stop := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() { // the platform: over its memory limit the gateway is killed
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
 				return
+			case <-g.Ended:
+				return
+			case <-tick.C:
 			}
-			time.Sleep(listLateBy)
-			discovery.Set(instance)
-		}()
-	}
-	var results []rig.Result
+			resident := g.Resident()
+			if n%50 == 0 {
+				r.Log("resident memory %.1f MB, %d requests sent, %d served", float64(resident)/(1<<20), sent.Load(), served.Load())
+			}
+			if resident > memoryMB<<20 {
+				r.Log("resident memory %.1f MB: over the limit of %d MB", float64(resident)/(1<<20), memoryMB)
+				killed.Store(1)
+				g.Signal(syscall.SIGKILL)
+				return
+			}
+		}
+	})
 	var clients sync.WaitGroup
-	total := crashAfter + downFor + listLateBy + listedFor
-	for n := range int(total / interval) {
+	start := time.Now()
+	for n := 0; time.Since(start) < playFor && killed.Load() == 0; n++ {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / perSecond)))
+		request := rig.Request{ID: fmt.Sprintf("r-%d", n), Class: "lookup", Account: n / 2 % customers, TimeLeft: timeLeft, Headers: headers,
+			Patience: 3 * time.Second}
+		if n%2 == 1 {
+			request.Class, request.Body, request.Chunked = "booking", bodyBytes, rig.Trouble()
+		}
 		clients.Go(func() {
-			result := r.Ask(g.Address, rig.Request{ID: fmt.Sprintf("lookup-%d", n), Class: "lookup", Account: n % customers, TimeLeft: timeLeft, Patience: 30 * time.Second})
-			mu.Lock()
-			defer mu.Unlock()
-			results = append(results, result)
+			sent.Add(1)
+			if result := r.Ask(g.Address, request); result.Whole && result.Status == 200 {
+				served.Add(1)
+			}
 		})
-		time.Sleep(interval)
 	}
+	close(stop)
+	watch.Wait()
 	clients.Wait()
 	select {
-	case err := <-failed:
-		return false, err
+	case <-g.Ended:
+		broken = true
 	default:
 	}
-	cutByCrash := map[string]bool{} // requests that the crash itself may have cut off
-	for _, a := range restarted.Attempts() {
-		if a.Life == 0 && rig.Trouble() {
-			cutByCrash[a.ID] = true
-		}
-	}
-	whole, refused := 0, 0
-	for _, result := range results {
-		switch {
-		case result.Whole && result.Status == 200 && len(result.Body) == answerBytes:
-			whole++
-		case result.Whole && result.Status != 200:
-			refused++
-		case result.Status == 200 && !cutByCrash[result.ID]:
-			r.Log("%s: the client got %d of %d bytes, while its backend was still giving: lost (the backend's writes ended with: %v)", result.ID,
-				len(result.Body), answerBytes, ends[result.ID])
-			broken = true
-		}
-	}
-	r.Log("%d requests, %d served whole, %d refused or failed", len(results), whole, refused)
-	if whole == 0 {
+	r.Log("%d requests sent, %d served; the gateway has crashed: %t", sent.Load(), served.Load(), broken)
+	if served.Load() == 0 {
 		return false, fmt.Errorf("nothing was served")
 	}
 	return broken, nil
 }
-
-// giveLongAnswer writes an answer in pieces.
-func giveLongAnswer(conn net.Conn) error {
-	time.Sleep(minWork + rand.N(maxWork-minWork))
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", answerBytes); err != nil {
-		return err
-	}
-	chunk := make([]byte, chunkBytes)
-	for n := 0; n < answerBytes; n += chunkBytes {
-		if _, err := conn.Write(chunk); err != nil {
-			return err
-		}
-		time.Sleep(chunkEvery)
-	}
-	return nil
-}
--- a/review/case3/main.go
+++ b/review/case3/main.go
@@ -1,9 +1,11 @@
-// Command case3 plays case 3 of the review: a backend falls silent while a long body is on its way to it.
+// Command case3 plays case 3 of the review: a backend is started anew, and the list tells that some seconds late,
+// while the new process gives long answers.
 package main
 
 import (
-	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -11,75 +13,122 @@
 )
 
 const (
-	backends  = 8 // one of them is 12.5%; the pages let up to 17% fall silent
-	timeLeft  = 2500 * time.Millisecond
-	silentFor = 12 * time.Second // the pages name 11 to 26 s
+	backends    = 8
+	timeLeft    = 1800 * time.Millisecond
+	interval    = 20 * time.Millisecond // between requests; of a customer, 0.4 s
+	customers   = 20
+	crashAfter  = 5 * time.Second
+	downFor     = time.Second
+	listLateBy  = 5 * time.Second // the list is seconds late
+	listedFor   = 3 * time.Second // of requests after the list has told the start
+	answerBytes = 256 << 10
+	chunkBytes  = 8 << 10
+	minWork     = 110 * time.Millisecond // before the first byte of an answer
+	maxWork     = 130 * time.Millisecond
+	chunkEvery  = 100 * time.Millisecond // so an answer takes 3.2 s
 )
 
-// bodies are the sizes of the bodies, in bytes; the pages allow 32 MB. Each is played at a site of its own, all side by
-// side. How much of a body the sockets hold differs between machines: a shorter one has come to the backend's socket as
-// a whole, and of a longer one the client never writes the last byte, so that the gateway has not taken it.
-var bodies = []int{2 << 20, 4 << 20, 5 << 20, 6 << 20, 8 << 20}
-
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) (broken bool, err error) {
-	results := make([]rig.Result, len(bodies))
-	errs := make([]error, len(bodies))
-	var sites sync.WaitGroup
-	for n, size := range bodies {
-		sites.Go(func() { results[n], errs[n] = playSite(r, fmt.Sprintf("n%d", n), size) })
-	}
-	sites.Wait()
-	taken := 0
-	for n, result := range results {
-		switch {
-		case errs[n] != nil:
-			return false, errs[n]
-		case !result.Written:
-			r.Log("%s: its last byte was never written, so the gateway has not taken it", result.ID)
-			continue
-		}
-		taken++
-		lost := !result.Whole || result.AnsweredAt > result.Due()
-		r.Log("%s: last byte written after %.3f s, an answer was due by %.3f s, and came after %.3f s: status %d, whole: %t, lost: %t", result.ID,
-			result.WrittenAt.Seconds(), result.Due().Seconds(), result.AnsweredAt.Seconds(), result.Status, result.Whole, lost)
-		broken = broken || lost
-	}
-	if taken == 0 {
-		return false, errors.New("no request was written to its end")
-	}
-	return broken, nil
-}
-
-// playSite sends one request with a long body to a site of one gateway. Its backend falls silent when the head has come.
-func playSite(r *rig.Rig, name string, size int) (rig.Result, error) {
+	var mu sync.Mutex
+	ends := map[string]error{} // of the answers, by request
 	var list []*rig.Backend
-	hit := make(chan *rig.Backend, 1)
 	for n := range backends {
-		b := r.NewBackend(fmt.Sprintf("%s-s-%d", name, n), n/2)
-		b.Answer = rig.AnswerShort
-		b.Began = func(string) {
-			if rig.Trouble() {
-				b.FallSilent()
-				hit <- b
+		b := r.NewBackend(fmt.Sprintf("s-%d", n), n/2)
+		b.Answer = func(conn net.Conn, a rig.Attempt) bool {
+			err := giveLongAnswer(conn)
+			if err != nil {
+				r.Log("backend %s: %s: its answer broke: %v", a.Backend, a.ID, err)
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			ends[a.ID] = err
+			return err == nil
 		}
 		list = append(list, b)
 	}
 	discovery, counter, err := r.StartSite(list)
 	if err != nil {
-		return rig.Result{}, err
+		return false, err
 	}
-	g, err := r.StartGateway(rig.GatewayOptions{Name: name, Discovery: discovery.Address, Counter: counter.Address, Settings: rig.Settings(2, 0, rig.Classes)})
+	g, err := r.StartGateway(rig.GatewayOptions{Name: "n0", Discovery: discovery.Address, Counter: counter.Address, Settings: rig.Settings(2, 0, rig.Classes)})
 	if err != nil {
-		return rig.Result{}, err
+		return false, err
+	}
+	restarted := list[0]
+	failed := make(chan error, 1)
+	if rig.Trouble() {
+		go func() {
+			time.Sleep(crashAfter)
+			restarted.Crash()
+			time.Sleep(downFor)
+			instance := restarted.Instance
+			instance.StartedAtMs = time.Now().UnixMilli()
+			if err := restarted.Restart(); err != nil {
+				failed <- err
+				return
+			}
+			time.Sleep(listLateBy)
+			discovery.Set(instance)
+		}()
+	}
+	var results []rig.Result
+	var clients sync.WaitGroup
+	total := crashAfter + downFor + listLateBy + listedFor
+	for n := range int(total / interval) {
+		clients.Go(func() {
+			result := r.Ask(g.Address, rig.Request{ID: fmt.Sprintf("lookup-%d", n), Class: "lookup", Account: n % customers, TimeLeft: timeLeft, Patience: 30 * time.Second})
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, result)
+		})
+		time.Sleep(interval)
+	}
+	clients.Wait()
+	select {
+	case err := <-failed:
+		return false, err
+	default:
+	}
+	cutByCrash := map[string]bool{} // requests that the crash itself may have cut off
+	for _, a := range restarted.Attempts() {
+		if a.Life == 0 && rig.Trouble() {
+			cutByCrash[a.ID] = true
+		}
+	}
+	whole, refused := 0, 0
+	for _, result := range results {
+		switch {
+		case result.Whole && result.Status == 200 && len(result.Body) == answerBytes:
+			whole++
+		case result.Whole && result.Status != 200:
+			refused++
+		case result.Status == 200 && !cutByCrash[result.ID]:
+			r.Log("%s: the client got %d of %d bytes, while its backend was still giving: lost (the backend's writes ended with: %v)", result.ID,
+				len(result.Body), answerBytes, ends[result.ID])
+			broken = true
+		}
+	}
+	r.Log("%d requests, %d served whole, %d refused or failed", len(results), whole, refused)
+	if whole == 0 {
+		return false, fmt.Errorf("nothing was served")
+	}
+	return broken, nil
+}
+
+// giveLongAnswer writes an answer in pieces.
+func giveLongAnswer(conn net.Conn) error {
+	time.Sleep(minWork + rand.N(maxWork-minWork))
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", answerBytes); err != nil {
+		return err
+	}
+	chunk := make([]byte, chunkBytes)
+	for n := 0; n < answerBytes; n += chunkBytes {
+		if _, err := conn.Write(chunk); err != nil {
+			return err
+		}
+		time.Sleep(chunkEvery)
 	}
-	go func() {
-		b := <-hit
-		time.Sleep(silentFor)
-		b.ComeBack()
-	}()
-	return r.Ask(g.Address, rig.Request{ID: fmt.Sprintf("booking-%d", size), Class: "booking", TimeLeft: timeLeft, Body: size,
-		Patience: silentFor + 5*time.Second}), nil
+	return nil
 }
--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -182,7 +182,7 @@
 		attempt.Life = b.life
 		b.attempts = append(b.attempts, attempt)
 		b.mu.Unlock()
-		b.rig.Log("backend %s: %s has come whole, body of %d bytes, %s ms left", b.Instance.ID, id, length, request.Header.Get("X-Time-Left-Ms"))
+		b.rig.LogRequest("backend %s: %s has come whole, body of %d bytes, %s ms left", b.Instance.ID, id, length, request.Header.Get("X-Time-Left-Ms"))
 		if !b.Answer(conn, attempt) {
 			return
 		}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -18,8 +18,10 @@
 	Class    string
 	Account  int // which of the customers
 	TimeLeft time.Duration
-	Body     int // bytes; 0: a GET
-	Rate     int // bytes of the body written each second; 0: as fast as the connection takes them
+	Body     int    // bytes; 0: a GET
+	Rate     int    // bytes of the body written each second; 0: as fast as the connection takes them
+	Chunked  bool   // the body is chunked, with no length told ahead
+	Headers  string // further header lines, each with its end
 	Patience time.Duration
 }
 
@@ -49,12 +51,16 @@
 	}
 	defer conn.Close()
 	head := fmt.Sprintf("X-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Tier: enterprise\r\nX-Api-Key: %016x\r\n"+
-		"X-Time-Left-Ms: %d\r\nX-Call-Terms: units=1,spread=2,first=0\r\n", request.ID, request.Class, 0xb4d65521+request.Account, request.TimeLeft.Milliseconds())
+		"X-Time-Left-Ms: %d\r\nX-Call-Terms: units=1,spread=2,first=0\r\n", request.ID, request.Class, 0xb4d65521+request.Account, request.TimeLeft.Milliseconds()) + request.Headers
+	framing := fmt.Sprintf("Content-Length: %d", request.Body)
+	if request.Chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
 	if request.Body == 0 {
 		head = fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: origin.svc\r\n%s\r\n", request.Class, head)
 	} else {
-		head = fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: origin.svc\r\n%sIdempotency-Key: key-%s\r\nContent-Length: %d\r\n\r\n",
-			request.Class, head, request.ID, request.Body)
+		head = fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: origin.svc\r\n%sIdempotency-Key: key-%s\r\n%s\r\n\r\n",
+			request.Class, head, request.ID, framing)
 	}
 	written := make(chan bool, 1)
 	go func() { written <- r.write(conn, head, request) }()
@@ -67,14 +73,14 @@
 	select {
 	case result.Written = <-written:
 		result.WrittenAt = time.Since(start)
-		r.Log("client: %s has been sent, its last byte written: %t", request.ID, result.Written)
+		r.LogRequest("client: %s has been sent, its last byte written: %t", request.ID, result.Written)
 		conn.SetReadDeadline(time.Now().Add(request.Patience))
 		<-answered
 	case <-answered: // before the body was written
 		conn.Close()
 		<-written
 	}
-	r.Log("client: %s: status %d, %d bytes, whole: %t, error: %v, after %.3f s", request.ID, result.Status, len(result.Body), result.Whole,
+	r.LogRequest("client: %s: status %d, %d bytes, whole: %t, error: %v, after %.3f s", request.ID, result.Status, len(result.Body), result.Whole,
 		result.Err, result.AnsweredAt.Seconds())
 	return result
 }
@@ -92,8 +98,12 @@
 	next := time.Now()
 	for sent := 0; sent < request.Body; {
 		n := min(len(chunk), request.Body-sent)
-		if _, err := conn.Write(chunk[:n]); err != nil {
-			r.Log("client: %s: its body broke after %d bytes: %v", request.ID, sent, err)
+		piece := chunk[:n]
+		if request.Chunked {
+			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", n, piece)
+		}
+		if _, err := conn.Write(piece); err != nil {
+			r.LogRequest("client: %s: its body broke after %d bytes: %v", request.ID, sent, err)
 			return false
 		}
 		sent += n
@@ -102,6 +112,10 @@
 			time.Sleep(time.Until(next))
 		}
 	}
+	if request.Chunked {
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}
 	return true
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -3,6 +3,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +30,8 @@
 type Rig struct {
 	Root string // of the repository
 	Dir  string // temporary folder, removed by Close
+	// Quiet leaves single requests out of the record. It is set before anything starts.
+	Quiet bool
 
 	start   time.Time
 	mu      sync.Mutex
@@ -82,6 +86,13 @@
 	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// LogRequest writes a line on a single request, unless Quiet is set.
+func (r *Rig) LogRequest(format string, args ...any) {
+	if !r.Quiet {
+		r.Log(format, args...)
+	}
+}
+
 // Listen opens a listener on a free port of 127.0.0.1, which Close closes.
 func (r *Rig) Listen() (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -261,7 +272,8 @@
 	Listen    string // "": a free port
 	Operator  string // "": none
 	Program   string // command in place of the deploy file's run; "": that
-	Env       []string
+	MemoryMB  int    // 0: 192
+	Sockets   int    // 0: 1024
 }
 
 // Gateway is a gateway that runs as a process of its own.
@@ -324,7 +336,6 @@
 	if o.Operator != "" {
 		g.Process.Env = append(g.Process.Env, "EDGE_OPERATOR="+o.Operator)
 	}
-	g.Process.Env = append(g.Process.Env, o.Env...)
 	if err := g.Process.Start(); err != nil {
 		return nil, err
 	}
@@ -350,7 +361,7 @@
 func (g *Gateway) WriteConfig(discovery, counter string) error {
 	text, err := json.Marshal(map[string]any{"name": g.told.Name, "listen": g.Address, "discovery": discovery, "counter": counter,
 		"seed":   fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(g.told.MemoryMB, 192), "sockets": cmp.Or(g.told.Sockets, 1024)},
 		"known":  listing{Reset: true, Instances: []Instance{}}, "settings": json.RawMessage(g.told.Settings)})
 	if err != nil {
 		return err
@@ -361,6 +372,17 @@
 	return os.Rename(g.config+".new", g.config)
 }
 
+// Resident returns the resident memory of the gateway's process in bytes, 0 once it has ended.
+func (g *Gateway) Resident() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", g.Process.Process.Pid))
+	fields := strings.Fields(string(text))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
 func (g *Gateway) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
