Count a client's time to take its response from the response, not from the request

Callers saw: a request whose body took more than 15.5 s to come (1 MB at 66 kB a second) was run by a backend and answered there, and its client's connection ended without a byte.

Cause: the server's WriteTimeout, 2.5 s + the longest deadline + 10 s, is counted by net/http from the end of the request's header. A body that is streamed moves the read deadline and not the write deadline, so the response was written under one that had passed. It concerns every response to such a request but a streamed one, which sets deadlines of its own.

That the loop or the backend lost the answer is excluded by this: a 408 for a body that stops, which neither decides, was missing as well.

Change: startWriteTimeout gives the client writeTimeout when a response is written, on all paths of the handler; the server's own WriteTimeout covers what net/http answers itself. ServeHTTP is split by response on the way.

--- a/internal/gateway/disconnect_linux_test.go
+++ b/internal/gateway/disconnect_linux_test.go
@@ -33,7 +33,7 @@
 	blocked := make(chan struct{})
 	release = sync.OnceFunc(func() { close(blocked) })
 	callers := newClientListener(listener, 8)
-	server := (&frontend{}).server(callers, testTimeout)
+	server := (&frontend{}).server(callers)
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		http.NewResponseController(w).SetReadDeadline(time.Time{})
 		ex := newExchange(l, r.Header.Get(idHeader), "lookup")
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -25,7 +25,7 @@
 	maxNameBytes   = 256      // bytes of an ID or a key
 	maxTimeLeft    = time.Hour
 	readTimeout    = 2500 * time.Millisecond // for a complete request: within 3 s of connecting, a client must get an error or a close
-	writeTimeout   = 10 * time.Second
+	writeTimeout   = 10 * time.Second        // for the client to take a response that is not streamed
 	idleTimeout    = 2 * time.Minute
 	readyPath      = "/health/ready"
 
@@ -92,10 +92,11 @@
 // closesConnections reports whether connections are closed after their response.
 func (f *frontend) closesConnections() bool { return f.shuttingDown.Load() || f.draining.Load() }
 
-// server returns the HTTP server for clients, whose requests are open for at most the given time.
-func (f *frontend) server(clients *clientListener, longest time.Duration) *http.Server {
+// server returns the HTTP server for clients. Its WriteTimeout, which starts at the end of a request's header, covers
+// only what the server itself responds to malformed headers: each response of the handler starts a timeout of its own.
+func (f *frontend) server(clients *clientListener) *http.Server {
 	return &http.Server{Handler: f, MaxHeaderBytes: maxHeaderBytes, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: clients.onStateChange,
+		IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, ConnState: clients.onStateChange,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, clientConnKey{}, conn)
 		}}
@@ -104,21 +105,14 @@
 // ServeHTTP serves a client request, or a readiness check.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == readyPath {
-		if f.closesConnections() {
-			w.Header().Set("Connection", "close")
-		}
-		if !f.isReady() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		io.WriteString(w, "ready\n")
+		f.serveReadiness(w)
 		return
 	}
 	ex, status, err := f.readExchange(w, r)
 	if err != nil {
 		// Bytes after a malformed request may be part of it, so the connection must close.
 		w.Header().Set("Connection", "close")
-		http.Error(w, err.Error(), status)
+		respondError(w, err.Error(), status)
 		return
 	}
 	if r.Context().Err() != nil {
@@ -126,30 +120,18 @@
 		return
 	}
 	if !f.loop.Post(requestArrived{f.loop, ex}) {
-		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		respondStopped(w)
 		return
 	}
 	select {
 	case response := <-ex.reply:
-		// Evaluated now, since the request may have been open for a while. The framing scan ends at a chunked body.
-		if f.closesConnections() || len(r.TransferEncoding) > 0 {
-			w.Header().Set("Connection", "close")
-		}
-		if ex.upload != nil && !ex.upload.stop() {
-			w.Header().Set("Connection", "close") // answered before its body was complete
-		}
-		if conn := clientConnOf(r); conn != nil {
-			conn.markResponding()
-		}
-		if err := response.write(w); err != nil {
-			panic(http.ErrAbortHandler) // tells the client that the response is truncated
-		}
+		f.respond(w, r, ex, response)
 	case <-r.Context().Done():
 		f.loop.Post(clientDisconnected{f.loop, ex})
 		if ex.upload != nil && !ex.upload.stop() {
 			// The body did not end; the connection may still be open.
 			w.Header().Set("Connection", "close")
-			http.Error(w, "the body did not come in time", http.StatusRequestTimeout)
+			respondError(w, "the body did not come in time", http.StatusRequestTimeout)
 			return
 		}
 		respondDisconnected(w)
@@ -157,7 +139,37 @@
 		if ex.upload != nil {
 			ex.upload.stop()
 		}
-		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		respondStopped(w)
+	}
+}
+
+// serveReadiness responds to a readiness check.
+func (f *frontend) serveReadiness(w http.ResponseWriter) {
+	if f.closesConnections() {
+		w.Header().Set("Connection", "close")
+	}
+	if !f.isReady() {
+		respondError(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	startWriteTimeout(w)
+	io.WriteString(w, "ready\n")
+}
+
+// respond sends the response that the loop has decided on.
+func (f *frontend) respond(w http.ResponseWriter, r *http.Request, ex *exchange, response response) {
+	// Evaluated now, since the request may have been open for a while. The framing scan ends at a chunked body.
+	if f.closesConnections() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if ex.upload != nil && !ex.upload.stop() {
+		w.Header().Set("Connection", "close") // answered before its body was complete
+	}
+	if conn := clientConnOf(r); conn != nil {
+		conn.markResponding()
+	}
+	if err := response.write(w); err != nil {
+		panic(http.ErrAbortHandler) // tells the client that the response is truncated
 	}
 }
 
@@ -166,7 +178,25 @@
 // only closed its sending side would take that for a backend's response.
 func respondDisconnected(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	http.Error(w, "the client ended its sending, or sent on, before its answer", http.StatusBadRequest)
+	respondError(w, "the client ended its sending, or sent on, before its answer", http.StatusBadRequest)
+}
+
+// respondStopped responds to a request that the gateway can't serve any more.
+func respondStopped(w http.ResponseWriter) {
+	respondError(w, "the gateway has stopped", http.StatusInternalServerError)
+}
+
+// respondError responds with an error that the loop did not decide on.
+func respondError(w http.ResponseWriter, text string, status int) {
+	startWriteTimeout(w)
+	http.Error(w, text, status)
+}
+
+// startWriteTimeout gives the client writeTimeout from now to take its response. It must precede every response: any
+// earlier start would count the time that the request's body took, which may be minutes, and that of its attempts.
+func startWriteTimeout(w http.ResponseWriter) {
+	// Fails only for a connection without support for deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
 // readExchange reads a request, or returns the status with which to reject it.
@@ -360,6 +390,7 @@
 
 // write sends the response to the client. It returns an error if a streamed response is incomplete.
 func (response response) write(w http.ResponseWriter) error {
+	startWriteTimeout(w)
 	header := w.Header()
 	for k, v := range response.header {
 		header[k] = v
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,7 +231,7 @@
 	defer cachedListTimer.Stop()
 
 	clients := newClientListener(listener, descriptors.clients)
-	server := front.server(clients, longestDeadline(c))
+	server := front.server(clients)
 	if operatorListener != nil {
 		operators := &operatorServer{frontend: front, detached: detached, peers: peers}
 		wg.Go(func() { operators.serve(runCtx, operatorListener) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,13 @@
 
 // startExportingGateway does so with an exporter, unless export is nil.
 func startExportingGateway(t *testing.T, export *telemetry.Settings, change func(config string) string, backends ...*peer) *testGateway {
+	t.Helper()
+	return startGatewayOn(t, net.Listen, export, change, backends...)
+}
+
+// startGatewayOn does so with the clients' listener that listen returns.
+func startGatewayOn(t *testing.T, listen func(network, address string) (net.Listener, error), export *telemetry.Settings,
+	change func(config string) string, backends ...*peer) *testGateway {
 	t.Helper()
 	gw := &testGateway{registry: testpeer.NewRegistry(t), runErr: make(chan error, 1), reload: make(chan os.Signal)}
 	text := change(testpeer.ConfigText(gw.registry.Address(), testpeer.Settings))
@@ -54,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := listen("tcp", c.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
