Release ended operations from the event loop's timers, however far their deadlines are

Callers saw: at 140 requests a second, half of them bookings with chunked bodies just over 64 KiB, a gateway with a limit of 48 MB went over it after 68 s and was killed with all it held.

Cause: each attempt is in the loop's timers with its deadline, which for a chunked body that is still coming is that of the slowest upload, 24 minutes away; so are the decision module's timers of its request. A timer of an ended operation was dropped only when it was the earliest, so each attempt stayed for 24 minutes with its request, headers and connections.

Change: the loop removes timers whose operation has ended once a second, and earlier when the number of timers has doubled since. What is held goes by what is open and by the last second, on every path that uses the timers: attempts, counter calls, requests, limit commands. Checking a timer costs about what its pop did; no deadline has changed.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -60,6 +60,7 @@
 	pendingCalls   map[uint64][]*call         // by key, in order, until their replies are delivered
 	callsByOutcome [rules.NotSent + 1]uint64  // finished calls
 	timers         timerHeap
+	nextSweep      sweepTrigger
 	actions        []rules.Action
 	events         []rules.Event // queue of Handle; actions may append further events
 }
@@ -142,6 +143,7 @@
 		case <-timer.C:
 		}
 		now := l.Clock.Now()
+		l.removeObsoleteTimers(now)
 		for len(l.timers) > 0 && (l.timers[0].at <= now || l.obsolete(l.timers[0])) {
 			if t := l.timers.pop(); !l.obsolete(t) {
 				l.fire(t)
@@ -262,6 +264,16 @@
 	return false
 }
 
+// removeObsoleteTimers removes the obsolete timers if their removal is due. A timer refers to its operation with all that
+// this holds, and its time may be long after the operation's end: the deadline of a request whose body is still being
+// received is that of the slowest upload.
+func (l *EventLoop) removeObsoleteTimers(now float64) {
+	if l.nextSweep.isDue(now, len(l.timers)) {
+		l.timers.removeFunc(l.obsolete)
+		l.nextSweep = newSweepTrigger(now, len(l.timers))
+	}
+}
+
 // fire expires a timeout or delivers a timer to the module.
 func (l *EventLoop) fire(t timerEntry) {
 	if t.timeout != nil {
--- a/internal/owner/timers.go
+++ b/internal/owner/timers.go
@@ -1,9 +1,18 @@
 package owner
 
-import "elderyard/rules"
+import (
+	"slices"
+
+	"elderyard/rules"
+)
+
+const (
+	sweepInterval  = 1.0 // seconds after which obsolete timers are removed
+	minSweepLength = 64  // timers: with fewer, obsolete ones are not removed earlier than that
+)
 
 // Timeout is an operation with a time limit. Most operations finish before their limit, and
-// the process is not woken for the timers of those.
+// the process is not woken for the timers of those, nor are they kept until the limit.
 type Timeout interface {
 	Finished() bool // nothing waits for the time limit any more
 	Expire()        // the time limit has passed
@@ -41,20 +50,48 @@
 	list := *h
 	first, last := list[0], len(list)-1
 	list[0], list[last] = list[last], timerEntry{}
-	list = list[:last]
-	*h = list
-	for i := 0; ; {
+	*h = list[:last]
+	h.siftDown(0)
+	return first
+}
+
+// removeFunc removes the timers for which remove returns true.
+func (h *timerHeap) removeFunc(remove func(timerEntry) bool) {
+	*h = slices.DeleteFunc(*h, remove)
+	for i := len(*h)/2 - 1; i >= 0; i-- {
+		h.siftDown(i)
+	}
+}
+
+// siftDown moves the timer at index i down until none below it is earlier.
+func (h timerHeap) siftDown(i int) {
+	for {
 		child := 2*i + 1
-		if child >= last {
-			return first
+		if child >= len(h) {
+			return
 		}
-		if right := child + 1; right < last && list[right].at < list[child].at {
+		if right := child + 1; right < len(h) && h[right].at < h[child].at {
 			child = right
 		}
-		if list[i].at <= list[child].at {
-			return first
+		if h[i].at <= h[child].at {
+			return
 		}
-		list[i], list[child] = list[child], list[i]
+		h[i], h[child] = h[child], h[i]
 		i = child
 	}
 }
+
+// sweepTrigger decides when the obsolete timers of a heap are removed: after sweepInterval, or earlier if the number of
+// timers has doubled. So an operation that has ended is soon released, and a timer is checked about twice on average.
+type sweepTrigger struct {
+	at     float64
+	length int
+}
+
+// newSweepTrigger returns the trigger for the next removal after one at now that left length timers.
+func newSweepTrigger(now float64, length int) sweepTrigger {
+	return sweepTrigger{at: now + sweepInterval, length: max(2*length, minSweepLength)}
+}
+
+// isDue reports whether to remove the obsolete timers of a heap with length timers.
+func (s sweepTrigger) isDue(now float64, length int) bool { return now >= s.at || length >= s.length }
