Keep connections to a restarted backend that are newer than its reported start

Cause: pools.update closed all connections to a backend whose start time grew, and cancelled its pending dials, on the ground that an earlier process never answers. The report is late, and by then most connections are to the new process.

The module is excluded: it can't cancel a streamed response.

Change: a connection knows when it was established. A start in the future counts as now. TestBackendRestart, which holds the rule for the earlier process, gave a start in 1970 for a connection of today; it now gives the present time and asks the same.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -147,14 +148,16 @@
 	reader    *bufio.Reader     // reads from limit
 	writer    *bufio.Writer
 	endpoint  *endpoint
+	connected time.Time
 	idleSince time.Time     // zero while in use
 	idleFor   time.Duration // idle time before the current use; 0 for a new connection
 }
 
-// endpoint is one run of a backend at one address. All of its connections end with it.
+// endpoint is a backend at one address. All of its connections end with it.
 type endpoint struct {
 	address   string
-	startedAt float64
+	startedAt float64         // of the backend's current process, as far as discovery has reported it
+	restarted time.Time       // connections established before are to an earlier process; zero: none are
 	ctx       context.Context // ends with the endpoint; cancels its dials
 	cancel    context.CancelFunc
 	conns     map[*backendConn]struct{}
@@ -182,23 +185,57 @@
 		maxOpen: maxOpen, endpoints: map[rules.BackendID]*endpoint{}}
 }
 
-// update sets the address of a ready backend. A restart or a new address retires the old connections.
+// update sets the address and the start time of a ready backend. A new address retires the old connections. A restart
+// ends those to the earlier process, but discovery may report it seconds late: connections that were established since
+// belong to the new process, and so will pending dials.
 func (p *pools) update(id rules.BackendID, address string, startedAt float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := p.endpoints[id]
-	if old != nil && old.address == address && old.startedAt >= startedAt {
-		return
-	}
-	if old != nil {
-		// Requests in flight at an earlier run will never get a response.
-		p.retire(old, old.startedAt < startedAt)
+	if old := p.endpoints[id]; old != nil {
+		if old.startedAt < startedAt {
+			old.startedAt, old.restarted = startedAt, restartTime(startedAt)
+			p.closeEarlierProcess(old)
+		}
+		if old.address == address {
+			return
+		}
+		p.retire(old, false)
 	}
 	next := &endpoint{address: address, startedAt: startedAt, conns: map[*backendConn]struct{}{}}
 	next.ctx, next.cancel = context.WithCancel(context.Background())
 	p.endpoints[id] = next
 }
 
+// restartTime converts a start time that discovery has just reported. By a clock that is ahead the backend may have
+// started in the future, but it has started by now.
+func restartTime(startedAt float64) time.Time {
+	start, now := time.UnixMilli(int64(math.Round(startedAt*1000))), time.Now()
+	if start.After(now) {
+		return now
+	}
+	return start
+}
+
+// closeEarlierProcess closes the connections to an earlier process of the backend. Requests in flight on them will never
+// get a response.
+func (p *pools) closeEarlierProcess(e *endpoint) {
+	for c := range e.conns {
+		if c.toEarlierProcess() {
+			c.Close()
+		}
+	}
+	e.idle = slices.DeleteFunc(e.idle, func(c *backendConn) bool {
+		earlier := c.toEarlierProcess()
+		if earlier {
+			p.untrack(c)
+		}
+		return earlier
+	})
+}
+
+// toEarlierProcess reports whether the backend has restarted since the connection was established.
+func (c *backendConn) toEarlierProcess() bool { return c.connected.Before(c.endpoint.restarted) }
+
 // remove stops sending to a backend that drains or is gone, and cancels its pending dials. Requests in
 // flight may still get a response.
 func (p *pools) remove(id rules.BackendID) {
@@ -245,7 +282,7 @@
 func (p *pools) put(c *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.endpoint.retired {
+	if c.endpoint.retired || c.toEarlierProcess() {
 		c.Close()
 		p.untrack(c)
 		return
@@ -349,7 +386,7 @@
 	c, err := p.dial(ctx, e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err == nil && e.retired {
+	if err == nil && (e.retired || c.toEarlierProcess()) {
 		c.Close()
 		err = errNoConnection
 	}
@@ -375,7 +412,7 @@
 
 func newBackendConn(conn net.Conn, endpoint *endpoint) *backendConn {
 	limit := &io.LimitedReader{R: conn}
-	return &backendConn{Conn: conn, limit: limit, reader: bufio.NewReader(limit), writer: bufio.NewWriter(conn), endpoint: endpoint}
+	return &backendConn{Conn: conn, limit: limit, reader: bufio.NewReader(limit), writer: bufio.NewWriter(conn), endpoint: endpoint, connected: time.Now()}
 }
 
 // send writes the request and waits for the response. An error before the last byte is written proves
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -218,12 +218,13 @@
 	inFlight := startAttempt(p, newAttempt(testTimeout))
 	_, r := backend.Accept(t)
 	readRequest(t, r)
-	p.update(1, backend.Address(), 5)
+	start := startSeconds(nextStartTime())
+	p.update(1, backend.Address(), start)
 	if got := wait(t, inFlight, "result"); got.outcome != rules.ConnectionBroken {
 		t.Errorf("in flight at the earlier run: outcome %d", got.outcome)
 	}
 	for n, address := range []string{backend.Address(), elsewhere.Address()} {
-		p.update(1, address, 5)
+		p.update(1, address, start)
 		done := startAttempt(p, newAttempt(testTimeout))
 		conn, r := []*peer{backend, elsewhere}[n].Accept(t)
 		readRequest(t, r)
