--- a/review/second/main.go
+++ b/review/second/main.go
@@ -20,7 +20,12 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(*rig) error{
-	"hidden-request": playHiddenRequest,
+	"ceiling-counter": playCeilingCounter,
+	"ceiling-open":    playCeilingOpen,
+	"drain-restart":   playDrainRestart,
+	"hidden-request":  playHiddenRequest,
+	"limit-shutdown":  playLimitShutdown,
+	"limit-token":     playLimitToken,
 }
 
 func main() {
