--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays case 9; TROUBLE=0 leaves the disruption out. Exit status: 1 broken, 0 held, 2 could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/second ceiling-counter review/9
+exec review/bin/second ceiling-open review/9
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,6 +25,7 @@
 	"drain-restart":   playDrainRestart,
 	"hidden-request":  playHiddenRequest,
 	"limit-shutdown":  playLimitShutdown,
+	"silent-backend":  playSilentBackend,
 	"limit-token":     playLimitToken,
 }
 
