--- a/review/second/main.go
+++ b/review/second/main.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit statuses.
@@ -16,6 +19,9 @@
 	exitFailed = 2 // the case could not run
 )
 
+// longest is how long a case may take.
+const longest = 112 * time.Second
+
 // errBroken is returned by a case in which the rule was broken.
 var errBroken = errors.New("the rule was broken")
 
@@ -45,6 +51,17 @@
 		return exitFailed
 	}
 	defer r.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() { // ends with the program
+		select {
+		case <-interrupted:
+		case <-time.After(longest):
+		}
+		r.say("verdict: interrupted")
+		r.close()
+		os.Exit(exitFailed)
+	}()
 	err = play(r)
 	switch {
 	case errors.Is(err, errBroken):
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	record  *os.File
 	closers []func()
+	closing sync.Once
 }
 
 // newRig opens the record and a temporary folder. The working directory must be the root.
@@ -68,15 +69,24 @@
 }
 
 // onClose registers what close does, last first.
-func (r *rig) onClose(f func()) { r.closers = append(r.closers, f) }
+func (r *rig) onClose(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closers = append(r.closers, f)
+}
 
-// close ends all that was started.
+// close ends all that was started. Only the first call does anything, and a later one waits for it.
 func (r *rig) close() {
-	for n := len(r.closers) - 1; n >= 0; n-- {
-		r.closers[n]()
-	}
-	r.record.Close()
-	os.RemoveAll(r.dir)
+	r.closing.Do(func() {
+		r.mu.Lock()
+		closers := slices.Clone(r.closers)
+		r.mu.Unlock()
+		for _, closer := range slices.Backward(closers) {
+			closer()
+		}
+		r.record.Close()
+		os.RemoveAll(r.dir)
+	})
 }
 
 // listen opens a listener on a free loopback port.
