--- a/review/second/counter.go
+++ b/review/second/counter.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -114,14 +113,3 @@
 	body := strconv.FormatFloat(t.value, 'g', 7, 64)
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false
 }
-
-// sometimes returns a function that is true for this share of its calls, drawn from a seed.
-func sometimes(share float64, seed uint64) func() bool {
-	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(seed, 0))
-	return func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return random.Float64() < share
-	}
-}
