--- a/review/second/silent.go
+++ b/review/second/silent.go
@@ -12,7 +12,10 @@
 	"time"
 )
 
-const longBody = 5 << 20
+const (
+	longBody      = 6 << 20
+	receiveBuffer = 64 << 10 // of a backend's connection
+)
 
 // longSite is backends of which the one that gets a long body first falls silent with the body on its way: it reads and
 // answers nothing more, and resets its connections when it is back.
@@ -47,6 +50,7 @@
 // serve serves one connection of a backend.
 func (s *longSite) serve(name string, conn net.Conn) {
 	defer conn.Close()
+	conn.(*net.TCPConn).SetReadBuffer(receiveBuffer) // larger ones may hold the whole body
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
