Reply to the limit commands that wait when their server ends

A session took the server's end for its client's, and dropped its whole pipeline. Behind that the gateway ended the event loop once no connection over HTTP was open, whatever waited there, and a close over unread commands reset the connection.

Change: the server ends in three phases (Server.endSessions): it serves what has arrived while takes wait on, decides what still waits 0.3 s before the earliest kill (beside an agent after 3 s), and cuts off clients that don't read. Idle connections end at once, a command received in part has half a second, a TLS handshake too. The event loop ends after its front; an agent's replaced server ends beside its successor. Connections are closed for writing first. A client that has left takes no units, as before.

On the code before, with the new field alone so that it compiles, the tests of the end fail: both forms of TestStopRepliesToReceivedCommands, TestStopTimeout and TestLimitCommandsFollowRevision without a reply, TestEndOfConnectionKeepsReplies by a reset, TestLimitCommandsAtShutdown.

--- a/internal/agent/limit_server.go
+++ b/internal/agent/limit_server.go
@@ -25,6 +25,7 @@
 
 const (
 	limitsPollInterval = 250 * time.Millisecond // between two reads of the instance's files
+	limitsStopTimeout  = 3 * time.Second        // for takes that wait when their server is stopped
 	maxCustomers       = 1 << 15                // whose state a server of limit commands keeps
 )
 
@@ -38,13 +39,15 @@
 type limitServer struct {
 	agent       *Agent
 	instance    string
-	servedFiles [][]byte // contents of the last start, whether it succeeded or failed
-	failedFiles [][]byte // contents of the last start, if it failed
-	stop        func()   // stops the running server; nil: none is running
+	servedFiles [][]byte       // contents of the last start, whether it succeeded or failed
+	failedFiles [][]byte       // contents of the last start, if it failed
+	stop        func()         // stops the running server; nil: none is running
+	servers     sync.WaitGroup // that are running, or have been stopped and have not ended yet
 }
 
-// run follows the files until ctx ends, and then stops the server.
+// run follows the files until ctx ends, and then stops the server and waits for its end.
 func (srv *limitServer) run(ctx context.Context) {
+	defer srv.servers.Wait()
 	defer srv.stopServing()
 	for {
 		srv.poll(ctx)
@@ -54,7 +57,8 @@
 	}
 }
 
-// stopServing stops the running server, if there is one.
+// stopServing stops the running server, if there is one: its address is free at once, while its
+// connections reply to the commands that they have received and then end.
 func (srv *limitServer) stopServing() {
 	if srv.stop != nil {
 		srv.stop()
@@ -120,7 +124,7 @@
 }
 
 // start starts a server with the contents of config.json and site.toml. The returned
-// function stops the server and waits until it has ended.
+// function stops the server and does not wait until it has ended.
 func (srv *limitServer) start(platformConfig, siteConfig []byte) (stop func(), err error) {
 	c, err := config.Parse(platformConfig)
 	if err != nil {
@@ -148,7 +152,7 @@
 	rand.Read(seed[:])
 	loop := owner.New(set, binary.LittleEndian.Uint64(seed[:]), shared)
 	loop.Start(nil)
-	handler, err := respfront.FromSite(srv.agent.config.RESP, loop, set, c.PlanNames)
+	handler, err := respfront.FromSite(srv.agent.config.RESP, loop, set, c.PlanNames, limitsStopTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -157,17 +161,19 @@
 		return nil, fmt.Errorf("resp: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	serving, stopServing := context.WithCancel(ctx)
-	var loops, handling sync.WaitGroup
+	var loops sync.WaitGroup
 	loops.Go(func() { loop.Run(ctx) })
 	if callClient != nil {
 		loops.Go(func() { callClient.Run(ctx) })
 	}
-	handling.Go(func() { handler.Serve(serving, l) })
-	return func() {
-		stopServing() // the server must end before the event loop that handles its requests
-		handling.Wait()
-		cancel()
+	serving, stopServing := context.WithCancel(ctx)
+	srv.servers.Go(func() {
+		handler.Serve(serving, l)
+		cancel() // the event loop decides the commands, so it ends after the server
 		loops.Wait()
+	})
+	return func() {
+		l.Close() // before the next server listens on its address
+		stopServing()
 	}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -215,12 +215,12 @@
 	defer front.loop.attempts.Wait() // after the loop, which starts attempts, and the sweep, which ends them
 	defer wg.Wait()
 	defer stop()
+	serveLimits := func(context.Context) {}
 	if c.Site.RESP.Listen != "" {
-		limits, err := openLimitServer(c, descriptors.limitClients-limitDescriptors, front.loop.EventLoop)
+		serveLimits, err = openLimitServer(c, descriptors.limitClients-limitDescriptors, front.loop.EventLoop)
 		if err != nil {
 			return err
 		}
-		wg.Go(func() { limits(ctx) })
 	}
 	detached := newDetachedFile(c.StateDir, c.Name)
 	if operatorListener != nil {
@@ -234,6 +234,10 @@
 	}
 	front.loop.applyListing(c.InitialBackends, rules.CachedList)
 	wg.Go(func() { front.loop.Run(runCtx) })
+	limitCtx, stopLimits := context.WithCancel(ctx)
+	limitsEnded := make(chan struct{})
+	go func() { defer close(limitsEnded); serveLimits(limitCtx) }()
+	defer func() { stopLimits(); <-limitsEnded }() // before the event loop, which decides the commands
 	wg.Go(func() { pools.sweep(runCtx) })
 	if peers != nil {
 		wg.Go(func() { peers.Run(runCtx, front.loop.setFleet) })
@@ -322,7 +326,7 @@
 		log.Printf("resp.most_clients: %d descriptors allow %d clients, not %d", c.Sockets, maxClients, settings.Most)
 		settings.Most = maxClients
 	}
-	front, err := respfront.FromSite(settings, owner, c.Settings, c.PlanNames)
+	front, err := respfront.FromSite(settings, owner, c.Settings, c.PlanNames, minKillDelay(c)-finalResponseMargin)
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -48,12 +48,12 @@
 // startExportingGateway does so with an exporter, unless export is nil.
 func startExportingGateway(t *testing.T, export *telemetry.Settings, change func(config string) string, backends ...*peer) *testGateway {
 	t.Helper()
-	return startGatewayOn(t, net.Listen, export, change, backends...)
+	return startGatewayOn(t, net.Listen, export, change, nil, backends...)
 }
 
-// startGatewayOn does so with the clients' listener that listen returns.
+// startGatewayOn does so with the clients' listener that listen returns and, unless it is nil, a changed site file.
 func startGatewayOn(t *testing.T, listen func(network, address string) (net.Listener, error), export *telemetry.Settings,
-	change func(config string) string, backends ...*peer) *testGateway {
+	change func(config string) string, changeSite func(*site.Settings), backends ...*peer) *testGateway {
 	t.Helper()
 	gw := &testGateway{registry: testpeer.NewRegistry(t), runErr: make(chan error, 1), reload: make(chan os.Signal)}
 	text := change(testpeer.ConfigText(gw.registry.Address(), testpeer.Settings))
@@ -61,6 +61,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if changeSite != nil {
+		changeSite(&c.Site)
+	}
 	l, err := listen("tcp", c.Listen)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/slow_body_test.go
+++ b/internal/gateway/slow_body_test.go
@@ -181,7 +181,7 @@
 		return config.Listen(context.Background(), network, address)
 	}
 	backend := newPeer(t)
-	gw := startGatewayOn(t, listen, nil, withClassDeadline, backend)
+	gw := startGatewayOn(t, listen, nil, withClassDeadline, nil, backend)
 	client := testpeer.DialWithReceiveBuffer(t, gw.address, bufferBytes)
 	client.SetDeadline(time.Now().Add(slowTestTimeout))
 	io.WriteString(client, requestText("GET", "lookup", ""))
--- a/internal/owner/checks.go
+++ b/internal/owner/checks.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// ExpireChecks decides all pending checks as at their deadlines. Only messages may call it.
+func (l *EventLoop) ExpireChecks() {
+	for id := range l.checks {
+		l.Handle(rules.ExpireRequest(id))
+	}
+}
+
 // completeCheck passes a result to the requester of its check.
 func (l *EventLoop) completeCheck(result rules.CheckResult) {
 	if c := l.submitting; c != nil && c.id == result.ID {
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -47,6 +47,12 @@
 // Buffered returns the number of bytes that have been received and not yet been read.
 func (r *Reader) Buffered() int { return r.r.Buffered() }
 
+// Wait waits until input has been received, and consumes none. After a timeout it may be called again.
+func (r *Reader) Wait() error {
+	_, err := r.r.Peek(1)
+	return err
+}
+
 // line reads one line and returns it without its end. It is valid until the next read.
 func (r *Reader) line() ([]byte, error) {
 	text, err := r.r.ReadSlice('\n')
--- a/internal/respfront/limit_commands.go
+++ b/internal/respfront/limit_commands.go
@@ -237,7 +237,7 @@
 		s.fail("ERR syntax error: ID names the take")
 		return
 	}
-	s.decideBatch(s.ctx) // a take before it in the pipeline must be decided first
+	s.decideBatch() // a take before it in the pipeline must be decided first
 	s.submit(func(w *replyWriter, r *queuedReply) {
 		w.Map(3)
 		w.Bulk("given")
--- a/internal/respfront/limiter.go
+++ b/internal/respfront/limiter.go
@@ -32,6 +32,7 @@
 
 	tokens  *limits.Deduplicator
 	repeats map[tokenKey][]*queuedReply // takes that wait for the result of the take that they repeat
+	noWaits bool                        // no take may wait any more
 
 	stats struct{ takes, refused, local, repeats, gives, peeks, units atomic.Int64 }
 }
@@ -211,6 +212,9 @@
 	if wait < 0 {
 		wait = l.defaultWait
 	}
+	if l.noWaits {
+		wait = 0
+	}
 	r.event = rules.Check{ID: id, Customer: rules.CustomerID(request.account), Plan: request.plan, Units: request.units, FirstGateway: request.firstGateway,
 		Gateways: request.gateways, Deadline: now + wait, Partial: request.partial}
 	return &r.event
@@ -287,6 +291,16 @@
 	}
 }
 
+// endWaits is a message to the event loop. It decides the takes that wait as at the end of
+// their time, and later ones at once.
+type endWaits struct{ limiter *Limiter }
+
+// Process runs in the event loop's goroutine.
+func (e endWaits) Process() {
+	e.limiter.noWaits = true
+	e.limiter.loop.ExpireChecks()
+}
+
 // toMillis converts seconds to whole milliseconds, rounded up.
 func toMillis(seconds float64) int64 {
 	return int64(math.Ceil(seconds * float64(time.Second/time.Millisecond)))
--- a/internal/respfront/server.go
+++ b/internal/respfront/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"elderyard/internal/resp"
+	"elderyard/internal/wait"
 )
 
 // Settings are the settings of a server.
@@ -18,7 +19,8 @@
 	Users          []User // none: every client may run all commands for all accounts
 	MaxConnections int
 	IdleTimeout    time.Duration
-	TLS            *tls.Config // nil: plain connections
+	StopTimeout    time.Duration // how long takes may wait for units once the server stops
+	TLS            *tls.Config   // nil: plain connections
 }
 
 // commandLimits are the maximum sizes of one command. The longest has a dozen words.
@@ -38,6 +40,7 @@
 	users          users
 	maxConnections int
 	idleTimeout    time.Duration
+	stopTimeout    time.Duration
 	tls            *tls.Config
 	buffers        sync.Pool // of *buffers, for connections that are not idle
 
@@ -45,8 +48,13 @@
 	connections  atomic.Int64
 	failedLogins atomic.Int64
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+
+	// The phases of the end, each a channel that is closed when it begins; see endSessions.
+	stopping  chan struct{}
+	finishing chan struct{}
+	aborted   chan struct{}
 }
 
 // buffers are what a connection needs while it has commands.
@@ -81,75 +89,65 @@
 
 // New returns a server for a limiter.
 func New(l *Limiter, set Settings) *Server {
-	s := &Server{limiter: l, users: set.Users, maxConnections: set.MaxConnections, idleTimeout: set.IdleTimeout, tls: set.TLS, conns: map[net.Conn]struct{}{}}
+	s := &Server{limiter: l, users: set.Users, maxConnections: set.MaxConnections, idleTimeout: set.IdleTimeout, stopTimeout: set.StopTimeout, tls: set.TLS,
+		sessions: map[*session]struct{}{}, stopping: make(chan struct{}), finishing: make(chan struct{}), aborted: make(chan struct{})}
 	s.buffers.New = func() any { return &buffers{reader: resp.NewReader(nil, commandLimits)} }
 	return s
 }
 
-// Serve accepts connections from listener until ctx ends, and returns when all have
-// ended. Each first replies to the commands that it has read.
+// Serve accepts connections until ctx ends or listener is closed, and returns when all have
+// ended. Each first replies to the commands that it has read, as endSessions describes. The
+// limiter's event loop must run until Serve returns. Serve may be called once.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() {
-		listener.Close()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for conn := range s.conns {
-			conn.SetReadDeadline(time.Now()) // wakes idle connections; replies can still be written
-		}
-	})
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
+	var running sync.WaitGroup
+	s.accept(ctx, listener, &running)
+	s.endSessions(&running)
+}
+
+// accept starts a session for each connection until the listener is closed.
+func (s *Server) accept(ctx context.Context, listener net.Listener, running *sync.WaitGroup) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
+		switch {
+		case err == nil:
+			s.startSession(conn, running)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
 			log.Printf("resp: failed to accept connection: %v", err)
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(acceptBackoff):
-			}
-			continue
-		}
-		s.mu.Lock()
-		full := len(s.conns) >= s.maxConnections || ctx.Err() != nil
-		if !full {
-			s.conns[conn] = struct{}{}
+			wait.For(ctx, acceptBackoff)
 		}
-		s.mu.Unlock()
-		if full {
-			conn.SetWriteDeadline(time.Now().Add(acceptBackoff))
-			conn.Write([]byte("-ERR max number of clients reached\r\n"))
-			conn.Close()
-			continue
-		}
-		s.connections.Add(1)
-		wg.Go(func() {
-			defer s.connections.Add(-1)
-			s.serveConn(ctx, conn)
-			s.mu.Lock()
-			delete(s.conns, conn)
-			s.mu.Unlock()
-			conn.Close()
-		})
 	}
 }
 
-// serveConn serves one connection until it ends.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session := &session{server: s, raw: conn, conn: conn, version: 2, id: s.lastID.Add(1)}
-	if s.tls != nil {
-		tlsConn := tls.Server(conn, s.tls)
-		handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-		err := tlsConn.HandshakeContext(handshakeCtx)
-		cancel()
-		if err != nil {
-			return
-		}
-		session.conn = tlsConn
+// startSession serves a connection in a goroutine of its own, or rejects it if there are too many.
+func (s *Server) startSession(conn net.Conn, running *sync.WaitGroup) {
+	session := &session{server: s, raw: conn, conn: conn, version: 2, receiving: s.tls != nil}
+	s.mu.Lock()
+	full := len(s.sessions) >= s.maxConnections
+	if !full {
+		s.sessions[session] = struct{}{}
+	}
+	s.mu.Unlock()
+	if full {
+		conn.SetWriteDeadline(time.Now().Add(acceptBackoff))
+		conn.Write([]byte("-ERR max number of clients reached\r\n"))
+		conn.Close()
+		return
 	}
-	session.run(ctx)
+	session.id = s.lastID.Add(1)
+	s.connections.Add(1)
+	running.Go(func() {
+		defer s.connections.Add(-1)
+		if session.handshake() {
+			session.run()
+			session.end()
+		}
+		s.mu.Lock()
+		delete(s.sessions, session)
+		s.mu.Unlock()
+		conn.Close()
+	})
 }
--- a/internal/respfront/session.go
+++ b/internal/respfront/session.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
-	"syscall"
+	"sync"
 	"time"
 
 	"elderyard/internal/owner"
@@ -27,12 +28,15 @@
 	b       *buffers
 	args    []string // of the current command
 	replies []*queuedReply
-	next    *queuedReply    // the reply of the current command if it is a limit command
-	checks  []*owner.Check  // of the replies in batch
-	batch   *batch          // limit commands that aren't submitted yet; nil: none
-	ctx     context.Context // of the server, for commands that decide the batch before them
-	current replyWriter     // reply of the current command
-	broken  bool            // the client has disconnected or doesn't read its replies
+	next    *queuedReply   // the reply of the current command if it is a limit command
+	checks  []*owner.Check // of the replies in batch
+	batch   *batch         // limit commands that aren't submitted yet; nil: none
+	current replyWriter    // reply of the current command
+	broken  bool           // the client has disconnected or doesn't read its replies
+
+	mu        sync.Mutex
+	receiving bool // a command or the handshake has been received in part; otherwise the session waits for a command
+	finished  bool // all replies have been written, and the connection is closed for writing
 }
 
 // writer returns the writer for the reply of the current command. queue must follow.
@@ -73,27 +77,28 @@
 	s.checks = append(s.checks, &r.check)
 }
 
-// run serves commands until the connection or ctx ends.
-func (s *session) run(ctx context.Context) {
-	s.ctx = ctx
+// handshake prepares the connection for commands. It returns false if that fails. The client
+// may send a command together with its last message, so the end of the server doesn't cancel it.
+func (s *session) handshake() bool {
+	if s.server.tls == nil {
+		return true
+	}
+	conn := tls.Server(s.raw, s.server.tls)
+	s.conn = conn
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	return conn.HandshakeContext(ctx) == nil
+}
+
+// run serves commands until the connection or the server ends.
+func (s *session) run() {
 	defer s.releaseBuffers()
-	for !s.closing && !s.broken {
-		s.conn.SetReadDeadline(time.Now().Add(s.server.idleTimeout))
-		if ctx.Err() != nil {
-			return // checked after setting the deadline: the server sets an earlier one when ctx ends
-		}
-		if (s.b == nil || s.b.reader.Buffered() == 0) && !s.waitReadable() {
-			return
-		}
-		if s.b == nil {
-			s.b = s.server.buffers.Get().(*buffers)
-			s.b.reader.Reset(s.conn)
-		}
+	for !s.closing && !s.broken && s.awaitCommand() {
 		err := s.runPipeline()
 		if err != nil && errors.Is(err, resp.ErrProtocol) {
 			s.fail("ERR " + err.Error())
 		}
-		s.decideBatch(ctx)
+		s.decideBatch()
 		s.flush()
 		if err != nil {
 			return
@@ -101,30 +106,43 @@
 	}
 }
 
-// waitReadable waits for the next command. A plain connection has no buffers meanwhile.
-func (s *session) waitReadable() bool {
-	if s.conn != s.raw {
-		return true // TLS may have buffered bytes; the read waits
-	}
-	s.releaseBuffers()
-	sc, ok := s.raw.(syscall.Conn)
-	if !ok {
-		return true
+// awaitCommand waits until a command has been received, at least in part. It returns false
+// if the connection is to end instead.
+func (s *session) awaitCommand() bool {
+	received := s.b != nil && s.b.reader.Buffered() > 0
+	if hasBegun(s.server.finishing) {
+		return received && s.b.reader.Ready()
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if !received && !s.waitReadable() {
 		return false
 	}
-	ready := false
-	err = raw.Read(func(fd uintptr) bool {
-		n, err := sockets.Peek(fd)
-		if errors.Is(err, syscall.EAGAIN) {
-			return false
-		}
-		ready = n > 0
+	s.beginCommand()
+	if s.b == nil {
+		s.b = s.server.buffers.Get().(*buffers)
+		s.b.reader.Reset(s.conn)
+	}
+	return true
+}
+
+// waitReadable waits for input, unless the server is stopping, and reports whether there is
+// any. A plain connection has no buffers meanwhile.
+func (s *session) waitReadable() bool {
+	encrypted := s.conn != s.raw // and may have buffered input that the socket doesn't show
+	if !encrypted {
+		s.releaseBuffers()
+	} else if s.b == nil {
+		s.b = s.server.buffers.Get().(*buffers)
+		s.b.reader.Reset(s.conn)
+	}
+	wait := func() error { return sockets.WaitReadable(s.raw) }
+	if encrypted {
+		wait = s.b.reader.Wait
+	}
+	if s.beginWait() && wait() == nil {
 		return true
-	})
-	return err == nil && ready
+	}
+	// A command may have crossed the end of the wait. The deadline has passed, so this doesn't wait again.
+	return encrypted && wait() == nil || sockets.Readable(s.raw)
 }
 
 // releaseBuffers returns the buffers to the pool.
@@ -174,40 +192,57 @@
 }
 
 // decideBatch passes the limit commands of the batch to the event loop in one message and
-// waits for their results. When the server stops it waits for at most one poll interval.
+// waits for their results.
 //
 // It must notice that the client has disconnected: otherwise a take that waits for units
 // would take them for a client that never learns of it.
-func (s *session) decideBatch(ctx context.Context) {
+func (s *session) decideBatch() {
 	if s.batch == nil {
 		return
 	}
-	if !s.server.limiter.loop.Post(owner.CheckBatch{Loop: s.server.limiter.loop, Checks: s.checks}) {
-		s.broken = true
-	}
-	poll := time.NewTimer(disconnectPollInterval)
+	loop := s.server.limiter.loop
+	loop.Post(owner.CheckBatch{Loop: loop, Checks: s.checks})
+	poll := time.NewTicker(disconnectPollInterval)
 	defer poll.Stop()
-	for waiting := !s.broken; waiting; {
+	for waiting := true; waiting; {
 		select {
 		case <-s.batch.done:
 			waiting = false
-		case <-s.server.limiter.loop.Stopped():
-			s.broken, waiting = true, false
+		case <-loop.Stopped():
+			s.failUndecided()
+			waiting = false
+		case <-s.server.aborted:
+			s.cancelBatch()
+			waiting = false
 		case <-poll.C:
-			if poll.Reset(disconnectPollInterval); sockets.PeerClosed(s.raw) || ctx.Err() != nil {
-				s.server.limiter.loop.Post(disconnect{s.server.limiter, s.replies})
-				s.broken, waiting = true, false
+			if sockets.PeerClosed(s.raw) {
+				s.cancelBatch()
+				waiting = false
 			}
 		}
 	}
-	if s.broken {
-		s.b.batch = nil // the event loop may still use it
-	}
 	s.batch, s.checks = nil, s.checks[:0]
 }
 
-// flush writes the queued replies. After a batch that was not decided, it drops them,
-// since the connection ends: their results may not be read.
+// cancelBatch cancels the undecided commands of the batch. Their replies can't reach the client.
+func (s *session) cancelBatch() {
+	s.server.limiter.loop.Post(disconnect{s.server.limiter, s.replies})
+	s.broken = true
+	s.b.batch = nil // the event loop may still use it
+}
+
+// failUndecided sets an error for the commands that an event loop has left undecided when it stopped.
+func (s *session) failUndecided() {
+	for _, r := range s.replies {
+		if r.write != nil && !r.decided {
+			r.err = errStopped
+		}
+	}
+	s.b.batch = nil // it was not completed
+}
+
+// flush writes the queued replies. Those of a batch that was cancelled are dropped, since
+// the event loop may still set their results.
 func (s *session) flush() {
 	if s.broken {
 		s.replies = nil
--- a/internal/respfront/site.go
+++ b/internal/respfront/site.go
@@ -14,8 +14,9 @@
 )
 
 // FromSite returns a server with the settings of the site file, for an event loop
-// whose module has the settings set and plans of these names. It opens no socket.
-func FromSite(respSettings site.RESP, loop *owner.EventLoop, set rules.Settings, plans []string) (*Server, error) {
+// whose module has the settings set and plans of these names. Once it stops, takes may wait
+// for stopTimeout. It opens no socket.
+func FromSite(respSettings site.RESP, loop *owner.EventLoop, set rules.Settings, plans []string, stopTimeout time.Duration) (*Server, error) {
 	accounts := map[uint64]string{}
 	for _, a := range respSettings.Account {
 		id, err := site.ParseAccountID(a.ID)
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("resp: %w", err)
 	}
-	settings := Settings{MaxConnections: respSettings.Most, IdleTimeout: time.Duration(respSettings.Idle)}
+	settings := Settings{MaxConnections: respSettings.Most, IdleTimeout: time.Duration(respSettings.Idle), StopTimeout: stopTimeout}
 	for _, u := range respSettings.User {
 		user, err := newUser(u)
 		if err != nil {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -53,6 +53,41 @@
 	return !known || err == nil && idle
 }
 
+// WaitReadable waits, until the deadline for reads, for data to read. It returns io.EOF if the peer has closed the
+// connection, and nil at once if the connection does not expose a descriptor.
+func WaitReadable(conn net.Conn) error {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var n int
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, peekErr = Peek(fd)
+		return !errors.Is(peekErr, syscall.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return err
+	case peekErr != nil:
+		return peekErr
+	case n == 0:
+		return io.EOF
+	}
+	return nil
+}
+
+// Readable reports, without blocking, whether a connection has data to read.
+func Readable(conn net.Conn) bool {
+	n := 0
+	_, err := withDescriptor(conn, func(fd uintptr) { n, _ = Peek(fd) })
+	return err == nil && n > 0
+}
+
 // PeerClosed reports, without blocking, whether the peer has closed or reset a connection. Data that
 // it sent before and that is still unread would hide the close from a read, so where the operating
 // system supports it, the state of the connection is queried as well.
