Let TestDisconnectAsAttemptStarts measure the latency that the loop has recorded

Cause: the test waits for three times the time until the earlier response, and takes for granted that the loop's estimate of latency is no longer. The attempt's end can reach the loop after the response has been given: traced beside load 15, an estimate of 58 ms where the test had measured 32 ms, so the timer of the hedged request, 171 ms, was not due after 97 ms and nothing was dialed.

Change: the test measures once the attempt has ended and the loop has handled that. What it asks is the same.

--- a/internal/gateway/disconnect_linux_test.go
+++ b/internal/gateway/disconnect_linux_test.go
@@ -85,8 +85,9 @@
 				readRequest(t, br)
 				io.WriteString(conn, served)
 				wait(t, earlier.reply, "response to the earlier request")
-				hedgeAfter := 3 * time.Since(began) // half of it counts as mean deviation, four times
+				l.attempts.Wait() // the loop has a message about its end, which may follow the response
 				runInLoop(t, l, func() { l.applyListing(newListing(true, "Ready", one, other), 0) })
+				hedgeAfter := 3 * time.Since(began) // half of it counts as mean deviation, four times
 
 				arrived := make(chan *exchange, 1)
 				address, release := startBlockedServer(t, l, arrived)
--- a/internal/gateway/slow_body_test.go
+++ b/internal/gateway/slow_body_test.go
@@ -107,8 +107,8 @@
 	for _, c := range cases { // concurrently within one test, as they sleep for most of their time
 		wg.Go(func() {
 			status, body, err := gw.sendSlowBody(c)
-			if status != c.status || c.want >= 0 && body != c.want || err != nil {
-				t.Errorf("%s: status %d, %d bytes, %v; want %d and %d", c.name, status, body, err, c.status, c.want)
+			if status != c.status || c.want >= 0 && len(body) != c.want || err != nil {
+				t.Errorf("%s: status %d, %d bytes %.100q, %v; want %d and %d", c.name, status, len(body), body, err, c.status, c.want)
 			}
 		})
 	}
@@ -118,11 +118,11 @@
 // path returns the path of the request, by which the backend knows it.
 func (c slowBodyCase) path() string { return "/payment/" + c.name }
 
-// sendSlowBody sends the request and returns the status of the response and the length of its body.
-func (gw *testGateway) sendSlowBody(c slowBodyCase) (status, length int, err error) {
+// sendSlowBody sends the request and returns the status of the response and its body.
+func (gw *testGateway) sendSlowBody(c slowBodyCase) (status int, body []byte, err error) {
 	client, err := net.Dial("tcp", gw.address)
 	if err != nil {
-		return 0, 0, err
+		return 0, nil, err
 	}
 	defer client.Close()
 	client.SetDeadline(time.Now().Add(slowTestTimeout))
@@ -131,10 +131,10 @@
 	go c.body.write(client)
 	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 	if err != nil {
-		return 0, 0, fmt.Errorf("no response: %w", err)
+		return 0, nil, fmt.Errorf("no response: %w", err)
 	}
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, len(body), err
+	body, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
 }
 
 // replyToSlowBodies answers the requests of a backend by their paths.
