--- /dev/null
+++ b/internal/gateway/limit_commands.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"time"
+
+	"elderyard/internal/config"
+	"elderyard/internal/owner"
+	"elderyard/internal/respfront"
+)
+
+const rebindInterval = 100 * time.Millisecond // between attempts to bind an address that the old process still holds
+
+// openLimitServer opens the front end for limit commands with at most maxClients clients, and returns the function
+// that serves it. During an upgrade the old process holds the address until it ends; binding is retried until then.
+func openLimitServer(c *config.Config, maxClients int, owner *owner.EventLoop) (serve func(context.Context), err error) {
+	settings := c.Site.RESP
+	if maxClients < settings.Most {
+		log.Printf("resp.most_clients: %d descriptors allow %d clients, not %d", c.Sockets, maxClients, settings.Most)
+		settings.Most = maxClients
+	}
+	front, err := respfront.FromSite(settings, owner, c.Settings, c.PlanNames, minKillDelay(c)-finalResponseMargin)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	listener, err := net.Listen("tcp", c.Site.RESP.Listen)
+	if err != nil && !c.InheritedListener {
+		return nil, fmt.Errorf("limit commands: %w", err)
+	}
+	return func(ctx context.Context) {
+		for ; err != nil; listener, err = net.Listen("tcp", c.Site.RESP.Listen) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(rebindInterval):
+			}
+		}
+		front.Serve(ctx, listener)
+	}, nil
+}
