Bind the address of limit commands again in an upgrade instead of crashing

Cause: callers saw the new process of an upgrade crash at its start if the gateway serves limit commands. The function that retries to bind their address looked at the error of the function that made it, a named result that its return had cleared; so it did not retry, and served on a nil listener.

Change: it looks at the listener, and retries with an error of its own (listenAgain).

--- a/cmd/elderyard/upgrade_test.go
+++ b/cmd/elderyard/upgrade_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,7 @@
 		"settings": {"fleetSize": 1, "tickS": 0.002, "localities": ["a"], "kinds": ["m"],
 		"allowed": {"connectTimeoutS": 1, "keepaliveS": 15, "mostTries": 2},
 		"classes": [{"name": "c", "objectiveS": 2, "deadlineS": 2, "points": 1, "effect": "repeatable"}],
-		"packages": [{"name": "p", "pays": 1}]}}`)
+		"packages": [{"name": "p", "pays": 1}, {"name": "limited", "pays": 1, "unitsPerS": 10, "depth": 10}]}}`)
 	cmd.Env = append(cmd.Env, "EDGE_OPERATOR="+operatorAddress, "EDGE_LISTEN_FD=3", "TMPDIR="+dir)
 	cmd.ExtraFiles = []*os.File{socket}
 	if err := cmd.Start(); err != nil {
@@ -105,6 +106,58 @@
 	return resp.StatusCode
 }
 
+// Guards against limit commands that get no reply because an upgrade ends their process while they wait. The new
+// process serves limit commands at the same address.
+func TestUpgradeRepliesToLimitCommands(t *testing.T) {
+	s := newTestSite(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	dir, address := t.TempDir(), unusedAddress(t)
+	siteFile := filepath.Join(dir, "site.toml")
+	if err := os.WriteFile(siteFile, fmt.Appendf(nil, "[resp]\nlisten = %q\nplan = \"limited\"\n", address), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("ELDERYARD_SITE", siteFile)
+	old := s.start(t, socket, dir)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	s.start(t, socket, dir)
+	io.WriteString(conn, "LIMIT.TAKE 0000000000000001 10\r\nLIMIT.TAKE 0000000000000001 4 WAIT 60000\r\nLIMIT.TAKE 0000000000000001 10 WAIT 60000\r\n")
+	time.Sleep(50 * time.Millisecond) // the second take waits; it has its units after 0.4 s
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	replies, err := io.ReadAll(conn)
+	if granted := strings.Count(string(replies), "granted"); granted != 3 || err != nil {
+		t.Errorf("%d of 3 replies, %v: %q", granted, err, replies)
+	}
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process: %v, stderr: %q", err, old.stderr)
+	}
+	next, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	next.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(next, "PING\r\nQUIT\r\n")
+	if got, err := io.ReadAll(next); string(got) != "+PONG\r\n+OK\r\n" {
+		t.Errorf("the new process: %q, %v", got, err)
+	}
+}
+
 // In an upgrade, the new process serves on the same socket before the old one ends. No request may be lost
 // or refused, on reused connections or new ones, and a detached backend must stay detached.
 func TestUpgradeLosesNothing(t *testing.T) {
--- a/internal/gateway/limit_commands.go
+++ b/internal/gateway/limit_commands.go
@@ -26,18 +26,32 @@
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
-	listener, err := net.Listen("tcp", c.Site.RESP.Listen)
+	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil && !c.InheritedListener {
 		return nil, fmt.Errorf("limit commands: %w", err)
 	}
 	return func(ctx context.Context) {
-		for ; err != nil; listener, err = net.Listen("tcp", c.Site.RESP.Listen) {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(rebindInterval):
-			}
+		if listener == nil {
+			listener = listenAgain(ctx, settings.Listen)
+		}
+		if listener != nil {
+			front.Serve(ctx, listener)
 		}
-		front.Serve(ctx, listener)
 	}, nil
 }
+
+// listenAgain retries to listen on an address until it succeeds. It returns nil if ctx ends first.
+func listenAgain(ctx context.Context, address string) net.Listener {
+	retry := time.NewTicker(rebindInterval)
+	defer retry.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-retry.C:
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return listener
+		}
+	}
+}
