Open the inherited socket of the upgrade tests in one place

Cause: the new test of limit commands in an upgrade repeated the set-up of the one before it.

Change: openClientSocket serves both.

--- a/cmd/elderyard/upgrade_test.go
+++ b/cmd/elderyard/upgrade_test.go
@@ -106,20 +106,26 @@
 	return resp.StatusCode
 }
 
-// Guards against limit commands that get no reply because an upgrade ends their process while they wait. The new
-// process serves limit commands at the same address.
-func TestUpgradeRepliesToLimitCommands(t *testing.T) {
-	s := newTestSite(t)
+// openClientSocket opens the clients' socket, which the processes of an upgrade inherit.
+func openClientSocket(t *testing.T) (address string, socket *os.File) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	socket, err := l.(*net.TCPListener).File()
-	if err != nil {
+	t.Cleanup(func() { l.Close() })
+	if socket, err = l.(*net.TCPListener).File(); err != nil {
 		t.Fatal(err)
 	}
-	defer socket.Close()
+	t.Cleanup(func() { socket.Close() })
+	return l.Addr().String(), socket
+}
+
+// Guards against limit commands that get no reply because an upgrade ends their process while they wait. The new
+// process serves limit commands at the same address.
+func TestUpgradeRepliesToLimitCommands(t *testing.T) {
+	s := newTestSite(t)
+	_, socket := openClientSocket(t)
 	dir, address := t.TempDir(), unusedAddress(t)
 	siteFile := filepath.Join(dir, "site.toml")
 	if err := os.WriteFile(siteFile, fmt.Appendf(nil, "[resp]\nlisten = %q\nplan = \"limited\"\n", address), 0o600); err != nil {
@@ -162,16 +168,7 @@
 // or refused, on reused connections or new ones, and a detached backend must stay detached.
 func TestUpgradeLosesNothing(t *testing.T) {
 	s := newTestSite(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	socket, err := l.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	clientAddress, socket := openClientSocket(t)
 	dir := t.TempDir()
 	old := s.start(t, socket, dir)
 
@@ -186,7 +183,7 @@
 			defer transport.CloseIdleConnections()
 			client := http.Client{Transport: transport, Timeout: 10 * time.Second}
 			for ctx.Err() == nil {
-				req, _ := http.NewRequest("GET", "http://"+l.Addr().String()+"/c/1", nil)
+				req, _ := http.NewRequest("GET", "http://"+clientAddress+"/c/1", nil)
 				for k, v := range map[string]string{"X-Correlation-Id": fmt.Sprint(nextID.Add(1)), "X-Service-Class": "c",
 					"X-Tier": "p", "X-Api-Key": "0000000000000001", "X-Time-Left-Ms": "2000", "X-Call-Terms": "units=1,spread=1,first=0"} {
 					req.Header.Set(k, v)
