Give the last replies of an agent's limit commands the time that a late machine needs

Cause: once no take may wait any more, a server of limit commands closed its connections after a constant 0.1 s, whether their clients did not read or their commands were not decided yet. The constant comes from the kill of a gateway; an agent is killed at no set time, and on a machine that was later than that its client got no reply. Change: the two times of a server's end are settings (StopTimeouts); an agent's last replies have 3 s. The log tells undecided commands from clients that do not read. What a session does is one state in place of two flags; one function takes its buffers.

--- a/internal/agent/limit_server.go
+++ b/internal/agent/limit_server.go
@@ -25,10 +25,12 @@
 
 const (
 	limitsPollInterval = 250 * time.Millisecond // between two reads of the instance's files
-	limitsStopTimeout  = 3 * time.Second        // for takes that wait when their server is stopped
 	maxCustomers       = 1 << 15                // whose state a server of limit commands keeps
 )
 
+// limitsStopTimeouts are those of a server of limit commands. No platform kills an agent at a set time.
+var limitsStopTimeouts = respfront.StopTimeouts{Wait: 3 * time.Second, Reply: 3 * time.Second}
+
 // errFrontsNotCounted is returned for a revision that does not count the servers of limit
 // commands: its gateways would use the whole quota, including this server's share.
 var errFrontsNotCounted = errors.New("quotas.fronts of the revision is 0: it must count the agents that serve limit commands")
@@ -152,7 +154,7 @@
 	rand.Read(seed[:])
 	loop := owner.New(set, binary.LittleEndian.Uint64(seed[:]), shared)
 	loop.Start(nil)
-	handler, err := respfront.FromSite(srv.agent.config.RESP, loop, set, c.PlanNames, limitsStopTimeout)
+	handler, err := respfront.FromSite(srv.agent.config.RESP, loop, set, c.PlanNames, limitsStopTimeouts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/limit_commands.go
+++ b/internal/gateway/limit_commands.go
@@ -12,7 +12,10 @@
 	"elderyard/internal/respfront"
 )
 
-const rebindInterval = 100 * time.Millisecond // between attempts to bind an address that the old process still holds
+const (
+	rebindInterval    = 100 * time.Millisecond // between attempts to bind an address that the old process still holds
+	finalReplyTimeout = 100 * time.Millisecond // for the last replies, which ends before exitMargin begins
+)
 
 // openLimitServer opens the front end for limit commands with at most maxClients clients, and returns the function
 // that serves it. During an upgrade the old process holds the address until it ends; binding is retried until then.
@@ -22,7 +25,8 @@
 		log.Printf("resp.most_clients: %d descriptors allow %d clients, not %d", c.Sockets, maxClients, settings.Most)
 		settings.Most = maxClients
 	}
-	front, err := respfront.FromSite(settings, owner, c.Settings, c.PlanNames, minKillDelay(c)-finalResponseMargin)
+	stop := respfront.StopTimeouts{Wait: minKillDelay(c) - finalResponseMargin, Reply: finalReplyTimeout}
+	front, err := respfront.FromSite(settings, owner, c.Settings, c.PlanNames, stop)
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
--- a/internal/respfront/server.go
+++ b/internal/respfront/server.go
@@ -19,8 +19,8 @@
 	Users          []User // none: every client may run all commands for all accounts
 	MaxConnections int
 	IdleTimeout    time.Duration
-	StopTimeout    time.Duration // how long takes may wait for units once the server stops
-	TLS            *tls.Config   // nil: plain connections
+	Stop           StopTimeouts
+	TLS            *tls.Config // nil: plain connections
 }
 
 // commandLimits are the maximum sizes of one command. The longest has a dozen words.
@@ -40,7 +40,7 @@
 	users          users
 	maxConnections int
 	idleTimeout    time.Duration
-	stopTimeout    time.Duration
+	stopTimeouts   StopTimeouts
 	tls            *tls.Config
 	buffers        sync.Pool // of *buffers, for connections that are not idle
 
@@ -89,7 +89,7 @@
 
 // New returns a server for a limiter.
 func New(l *Limiter, set Settings) *Server {
-	s := &Server{limiter: l, users: set.Users, maxConnections: set.MaxConnections, idleTimeout: set.IdleTimeout, stopTimeout: set.StopTimeout, tls: set.TLS,
+	s := &Server{limiter: l, users: set.Users, maxConnections: set.MaxConnections, idleTimeout: set.IdleTimeout, stopTimeouts: set.Stop, tls: set.TLS,
 		sessions: map[*session]struct{}{}, stopping: make(chan struct{}), finishing: make(chan struct{}), aborted: make(chan struct{})}
 	s.buffers.New = func() any { return &buffers{reader: resp.NewReader(nil, commandLimits)} }
 	return s
@@ -124,7 +124,10 @@
 
 // startSession serves a connection in a goroutine of its own, or rejects it if there are too many.
 func (s *Server) startSession(conn net.Conn, running *sync.WaitGroup) {
-	session := &session{server: s, raw: conn, conn: conn, version: 2, receiving: s.tls != nil}
+	session := &session{server: s, raw: conn, conn: conn, version: 2}
+	if s.tls != nil {
+		session.state = receiving
+	}
 	s.mu.Lock()
 	full := len(s.sessions) >= s.maxConnections
 	if !full {
--- a/internal/respfront/session.go
+++ b/internal/respfront/session.go
@@ -34,11 +34,21 @@
 	current replyWriter    // reply of the current command
 	broken  bool           // the client has disconnected or doesn't read its replies
 
-	mu        sync.Mutex
-	receiving bool // a command or the handshake has been received in part; otherwise the session waits for a command
-	finished  bool // all replies have been written, and the connection is closed for writing
+	mu    sync.Mutex
+	state sessionState
 }
 
+// sessionState is what a session does.
+type sessionState int
+
+const (
+	waiting   sessionState = iota // for a command
+	receiving                     // the handshake, or a command of which a part has been received
+	deciding                      // limit commands, at the event loop
+	replying
+	finished // all replies have been written, and the connection is closed for writing
+)
+
 // writer returns the writer for the reply of the current command. queue must follow.
 func (s *session) writer() *replyWriter {
 	s.current = replyWriter{Version: s.version}
@@ -117,10 +127,7 @@
 		return false
 	}
 	s.beginCommand()
-	if s.b == nil {
-		s.b = s.server.buffers.Get().(*buffers)
-		s.b.reader.Reset(s.conn)
-	}
+	s.takeBuffers()
 	return true
 }
 
@@ -130,9 +137,8 @@
 	encrypted := s.conn != s.raw // and may have buffered input that the socket doesn't show
 	if !encrypted {
 		s.releaseBuffers()
-	} else if s.b == nil {
-		s.b = s.server.buffers.Get().(*buffers)
-		s.b.reader.Reset(s.conn)
+	} else {
+		s.takeBuffers()
 	}
 	wait := func() error { return sockets.WaitReadable(s.raw) }
 	if encrypted {
@@ -145,6 +151,14 @@
 	return encrypted && wait() == nil || sockets.Readable(s.raw)
 }
 
+// takeBuffers takes buffers from the pool unless the session has some.
+func (s *session) takeBuffers() {
+	if s.b == nil {
+		s.b = s.server.buffers.Get().(*buffers)
+		s.b.reader.Reset(s.conn)
+	}
+}
+
 // releaseBuffers returns the buffers to the pool.
 func (s *session) releaseBuffers() {
 	if s.b == nil {
@@ -200,6 +214,7 @@
 	if s.batch == nil {
 		return
 	}
+	s.setState(deciding)
 	loop := s.server.limiter.loop
 	loop.Post(owner.CheckBatch{Loop: loop, Checks: s.checks})
 	poll := time.NewTicker(disconnectPollInterval)
@@ -248,6 +263,7 @@
 		s.replies = nil
 		return
 	}
+	s.setState(replying)
 	w := replyWriter{Buf: s.b.out[:0]}
 	for _, r := range s.replies {
 		switch {
--- a/internal/respfront/site.go
+++ b/internal/respfront/site.go
@@ -14,9 +14,8 @@
 )
 
 // FromSite returns a server with the settings of the site file, for an event loop
-// whose module has the settings set and plans of these names. Once it stops, takes may wait
-// for stopTimeout. It opens no socket.
-func FromSite(respSettings site.RESP, loop *owner.EventLoop, set rules.Settings, plans []string, stopTimeout time.Duration) (*Server, error) {
+// whose module has the settings set and plans of these names. It opens no socket.
+func FromSite(respSettings site.RESP, loop *owner.EventLoop, set rules.Settings, plans []string, stop StopTimeouts) (*Server, error) {
 	accounts := map[uint64]string{}
 	for _, a := range respSettings.Account {
 		id, err := site.ParseAccountID(a.ID)
@@ -29,7 +28,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("resp: %w", err)
 	}
-	settings := Settings{MaxConnections: respSettings.Most, IdleTimeout: time.Duration(respSettings.Idle), StopTimeout: stopTimeout}
+	settings := Settings{MaxConnections: respSettings.Most, IdleTimeout: time.Duration(respSettings.Idle), Stop: stop}
 	for _, u := range respSettings.User {
 		user, err := newUser(u)
 		if err != nil {
--- a/internal/respfront/stop.go
+++ b/internal/respfront/stop.go
@@ -15,10 +15,14 @@
 	partialCommandTimeout = 500 * time.Millisecond // while the server stops, for the rest of a command
 	lingerTimeout         = 500 * time.Millisecond // for the client to close its side of the connection
 	lingerPollInterval    = 10 * time.Millisecond
-	// FinalReplyTimeout is the time in which the last replies are written once no take may wait any more.
-	FinalReplyTimeout = 100 * time.Millisecond
 )
 
+// StopTimeouts are how long a server may take to end once it stops.
+type StopTimeouts struct {
+	Wait  time.Duration // takes may wait for units for so long
+	Reply time.Duration // then the last commands are decided and their replies written
+}
+
 // errStopped is the reply to a command that was not decided before its event loop stopped.
 var errStopped = errors.New("the server has stopped; this command had no effect")
 
@@ -36,37 +40,40 @@
 //
 //   - stopping: connections without a command end at once. The others reply to the commands
 //     that they have received and then end. Takes wait for units as before.
-//   - finishing, stopTimeout later: takes that still wait are decided as at the end of their
+//   - finishing, after the timeout for waits: takes that still wait are decided as at the end of their
 //     time, and no further command is read.
-//   - aborted, FinalReplyTimeout later: the connections of clients that don't read their
-//     replies are closed.
+//   - aborted, after the timeout for replies: the remaining connections are closed.
 func (s *Server) endSessions(running *sync.WaitGroup) {
 	close(s.stopping)
 	s.forEachSession((*session).wake)
 	ended := make(chan struct{})
 	go func() { running.Wait(); close(ended) }()
-	if endedWithin(ended, s.stopTimeout) {
+	if endedWithin(ended, s.stopTimeouts.Wait) {
 		return
 	}
 	close(s.finishing)
 	s.limiter.loop.Post(endWaits{s.limiter})
 	s.forEachSession((*session).wake)
-	if endedWithin(ended, FinalReplyTimeout) {
+	if endedWithin(ended, s.stopTimeouts.Reply) {
 		return
 	}
 	close(s.aborted)
-	unfinished := 0
-	s.forEachSession(func(session *session) {
-		if !session.abort() {
-			unfinished++
-		}
-	})
-	if unfinished > 0 {
-		log.Printf("resp: closed %d connections with unwritten replies: their clients do not read", unfinished)
-	}
+	s.abortSessions()
 	<-ended
 }
 
+// abortSessions closes all connections, and logs how many had no reply yet.
+func (s *Server) abortSessions() {
+	counts := map[sessionState]int{}
+	s.forEachSession(func(session *session) { counts[session.abort()]++ })
+	if n := counts[deciding]; n > 0 {
+		log.Printf("resp: closed %d connections with undecided commands: the machine is late", n)
+	}
+	if n := counts[replying]; n > 0 {
+		log.Printf("resp: closed %d connections with unwritten replies: their clients do not read", n)
+	}
+}
+
 // endedWithin reports whether ended is closed within a time.
 func endedWithin(ended <-chan struct{}, timeout time.Duration) bool {
 	timer := time.NewTimer(timeout)
@@ -93,7 +100,7 @@
 func (s *session) beginWait() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.receiving = false
+	s.state = waiting
 	if hasBegun(s.server.stopping) {
 		s.conn.SetReadDeadline(time.Now())
 		return false
@@ -106,7 +113,7 @@
 func (s *session) beginCommand() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.receiving = true
+	s.state = receiving
 	timeout := s.server.idleTimeout
 	if hasBegun(s.server.stopping) {
 		timeout = min(timeout, partialCommandTimeout)
@@ -119,19 +126,26 @@
 func (s *session) wake() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.receiving && !hasBegun(s.server.finishing) {
+	if s.state == receiving && !hasBegun(s.server.finishing) {
 		s.raw.SetReadDeadline(time.Now().Add(partialCommandTimeout))
 	} else {
 		s.raw.SetReadDeadline(time.Now())
 	}
 }
 
-// abort closes the connection, and reports whether all replies had been written.
-func (s *session) abort() (finished bool) {
+// setState sets what the session does.
+func (s *session) setState(state sessionState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
+// abort closes the connection, and returns what the session did.
+func (s *session) abort() sessionState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.raw.Close()
-	return s.finished
+	return s.state
 }
 
 // end ends the connection after the last reply. A close before the client has closed its side
@@ -141,9 +155,7 @@
 	if s.broken || s.closeWrite() != nil {
 		return
 	}
-	s.mu.Lock()
-	s.finished = true
-	s.mu.Unlock()
+	s.setState(finished)
 	timeout := time.NewTimer(lingerTimeout)
 	defer timeout.Stop()
 	poll := time.NewTicker(lingerPollInterval)
--- a/internal/respfront/stop_test.go
+++ b/internal/respfront/stop_test.go
@@ -47,7 +47,7 @@
 	for name, set := range map[string]Settings{"plain": {}, "TLS": {TLS: &tls.Config{Certificates: []tls.Certificate{cert}}}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			set.StopTimeout = testpeer.Timeout
+			set.Stop = StopTimeouts{Wait: testpeer.Timeout, Reply: testpeer.Timeout}
 			r := newRig(t, set)
 			dial := func(first string) net.Conn {
 				var conn net.Conn = r.dial(t)
@@ -85,7 +85,7 @@
 // read: the takes, also those of one pipeline that run one after the other, are refused when the time
 // to stop is over, and such clients are cut off.
 func TestStopTimeout(t *testing.T) {
-	r := newRig(t, Settings{StopTimeout: 100 * time.Millisecond})
+	r := newRig(t, Settings{Stop: StopTimeouts{Wait: 100 * time.Millisecond, Reply: time.Second}})
 	r.counter.setSilent(true)
 	take, give := "LIMIT.TAKE "+basic+" 5 WAIT 60000 ID ", "LIMIT.GIVE "+basic+" 1 ID none\r\n"
 	repeated, pipeline := r.dial(t), r.dial(t)
@@ -110,6 +110,26 @@
 	}
 }
 
+// holdLoop is a message to the event loop, which then does nothing else until release is closed.
+type holdLoop struct{ release <-chan struct{} }
+
+func (m holdLoop) Process() { <-m.release }
+
+// Guards against a server that drops the reply of a take because its machine is late when the last takes are decided.
+func TestStopRepliesWhenMachineIsLate(t *testing.T) {
+	const late = 300 * time.Millisecond
+	r := newRig(t, Settings{Stop: StopTimeouts{Wait: time.Millisecond, Reply: testpeer.Timeout}})
+	r.counter.setSilent(true)
+	waiting := r.dial(t)
+	io.WriteString(waiting, "LIMIT.TAKE "+basic+" 5 WAIT 60000 ID a\r\n")
+	r.waitFor(t, "the take waits", func() bool { return r.rememberedTakes() == 1 })
+	release := make(chan struct{})
+	r.limiter.loop.Post(holdLoop{release})
+	r.stop()
+	time.AfterFunc(late, func() { close(release) })
+	expectReplies(t, waiting, "[granted 0")
+}
+
 // Guards against replies that are lost because commands behind the last one reset the connection.
 func TestEndOfConnectionKeepsReplies(t *testing.T) {
 	c := newRig(t, Settings{}).dial(t)
