Let the setup of replica's tests survive an election on a busy machine

Cause: startThree asked its first voter to add the others and failed the test if that voter lost its leadership in between, as it may at any time on a machine that is late; TestNonVoter asked once that a voter is not demoted. Change: both ask whoever leads now, and again after an election. What the tests check is unchanged.

--- a/internal/replica/members_test.go
+++ b/internal/replica/members_test.go
@@ -23,7 +23,7 @@
 	}
 	added := newVoter(t, n, "v9")
 	testwait.Must(t, added.start(t))
-	addVoter(t, leader, added)
+	addVoter(t, []*voter{leader}, added)
 	testwait.Until(t, testTimeout, "the added voter has all entries", func() bool { return head(added.store).Number == 1 })
 	members, err := leader.store.Members()
 	if err != nil || len(members) != 3 || members[2].Name != "v9" {
@@ -40,7 +40,7 @@
 // added voter can lead, and the other one must vote for it although its configuration lacks it.
 func TestLeaderFailsBeforeAllHaveAddedVoter(t *testing.T) {
 	n, voters := startSeparate(t)
-	addVoter(t, voters[0], voters[1])
+	addVoter(t, voters[:1], voters[1])
 	propose(t, voters[0].store, command("1", 0, "a"))
 	propose(t, voters[0].store, rolloutApplied(1))
 	n.setPartition("v0", "v1", true)
--- a/internal/replica/nonvoter_test.go
+++ b/internal/replica/nonvoter_test.go
@@ -15,11 +15,15 @@
 	n, voters := startThree(t)
 	nonVoter := newVoter(t, n, "r0")
 	testwait.Must(t, nonVoter.start(t))
-	testwait.Until(t, testTimeout, "the non-voter is added", func() bool {
+	testwait.Must(t, retryElections(t, func() error {
 		_, err := awaitLeader(t, voters).store.AddNonVoter(nonVoter.name, nonVoter.address)
-		return err == nil
+		return err
+	}))
+	err := retryElections(t, func() error {
+		_, err := awaitLeader(t, voters).store.AddNonVoter(voters[0].name, voters[0].address)
+		return err
 	})
-	if _, err := awaitLeader(t, voters).store.AddNonVoter(voters[0].name, voters[0].address); !errors.Is(err, ErrIsVoter) || !strings.Contains(err.Error(), "is a voter") {
+	if !errors.Is(err, ErrIsVoter) || !strings.Contains(err.Error(), "is a voter") {
 		t.Fatalf("demotion of a voter: %v", err)
 	}
 	commit(t, voters, command("1", 0, "a"))
--- a/internal/replica/voter_test.go
+++ b/internal/replica/voter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -80,17 +81,33 @@
 func startThree(t testing.TB) (*network, []*voter) {
 	t.Helper()
 	n, voters := startSeparate(t)
-	for _, v := range voters[1:] {
-		addVoter(t, voters[0], v)
+	for i, v := range voters[1:] {
+		addVoter(t, voters[:i+1], v)
 	}
 	return n, voters
 }
 
-// addVoter adds a voter, and waits until all voters have the change.
-func addVoter(t testing.TB, leader, added *voter) {
+// retryElections calls f until it does not fail because of a change of the leader, as may happen at any time on a busy
+// machine. It returns the last error.
+func retryElections(t testing.TB, f func() error) (err error) {
 	t.Helper()
-	change, err := leader.store.AddVoter(added.name, added.address)
-	testwait.Must(t, err)
+	testwait.Until(t, testTimeout, "no election", func() bool {
+		err = f()
+		return !errors.Is(err, ErrNotLeader) && !errors.Is(err, ErrOutcomeUnknown)
+	})
+	return err
+}
+
+// addVoter has the leader add a voter, and waits until all voters have the change.
+func addVoter(t testing.TB, voters []*voter, added *voter) {
+	t.Helper()
+	var leader *voter
+	var change ConfigurationChange
+	testwait.Must(t, retryElections(t, func() (err error) {
+		leader = awaitLeader(t, voters)
+		change, err = leader.store.AddVoter(added.name, added.address)
+		return err
+	}))
 	expectNoneLagging(t, leader, change)
 }
 
