Split the start of an agent's limit commands into opening and serving

Cause: one function of 52 lines parsed the files, built the event loop, listened and ran three goroutines, and had a second context that mattered for the pause after a failed accept alone. Change: openLimitFront builds the server without a socket, serve runs it and names what ends last; the closed listener ends it. sameFiles is one line. Measured: TestLimitCommandsFollowRevision and TestLimitCommandsRetryAddressInUse pass under the race detector.

--- a/internal/agent/limit_server.go
+++ b/internal/agent/limit_server.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -113,21 +114,32 @@
 	return list, nil
 }
 
-func sameFiles(a, b [][]byte) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if !bytes.Equal(a[i], b[i]) {
-			return false
-		}
-	}
-	return true
-}
+func sameFiles(a, b [][]byte) bool { return slices.EqualFunc(a, b, bytes.Equal) }
 
 // start starts a server with the contents of config.json and site.toml. The returned
 // function stops the server and does not wait until it has ended.
 func (srv *limitServer) start(platformConfig, siteConfig []byte) (stop func(), err error) {
+	front, err := openLimitFront(srv.agent.config.RESP, platformConfig, siteConfig)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", srv.agent.config.RESP.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("resp: %w", err)
+	}
+	srv.servers.Go(func() { front.serve(l) })
+	return func() { l.Close() }, nil // so the next server can listen on its address at once
+}
+
+// limitFront is a server of limit commands with what decides them.
+type limitFront struct {
+	server *respfront.Server
+	loop   *owner.EventLoop
+	client counter.Client // nil: there is no counter
+}
+
+// openLimitFront returns a server with the contents of config.json and site.toml. It opens no socket.
+func openLimitFront(settings site.RESP, platformConfig, siteConfig []byte) (*limitFront, error) {
 	c, err := config.Parse(platformConfig)
 	if err != nil {
 		return nil, err
@@ -142,40 +154,35 @@
 	set := c.Settings
 	set.CheckFrontends = s.Quotas.Fronts
 	set.MaxCustomers = maxCustomers
-	callClient, err := counter.Open(s.Counter, set, c.Counter)
+	client, err := counter.Open(s.Counter, set, c.Counter)
 	if err != nil {
 		return nil, err
 	}
 	var shared owner.Counter
-	if callClient != nil {
-		shared = callClient
+	if client != nil {
+		shared = client
 	}
 	var seed [8]byte
 	rand.Read(seed[:])
 	loop := owner.New(set, binary.LittleEndian.Uint64(seed[:]), shared)
-	loop.Start(nil)
-	handler, err := respfront.FromSite(srv.agent.config.RESP, loop, set, c.PlanNames, limitsStopTimeouts)
+	server, err := respfront.FromSite(settings, loop, set, c.PlanNames, limitsStopTimeouts)
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", srv.agent.config.RESP.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("resp: %w", err)
-	}
+	return &limitFront{server, loop, client}, nil
+}
+
+// serve serves until the listener is closed and all connections have ended. The event loop decides the commands, so it
+// ends last.
+func (f *limitFront) serve(l net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var loops sync.WaitGroup
-	loops.Go(func() { loop.Run(ctx) })
-	if callClient != nil {
-		loops.Go(func() { callClient.Run(ctx) })
-	}
-	serving, stopServing := context.WithCancel(ctx)
-	srv.servers.Go(func() {
-		handler.Serve(serving, l)
-		cancel() // the event loop decides the commands, so it ends after the server
-		loops.Wait()
-	})
-	return func() {
-		l.Close() // before the next server listens on its address
-		stopServing()
-	}, nil
+	f.loop.Start(nil)
+	var running sync.WaitGroup
+	running.Go(func() { f.loop.Run(ctx) })
+	if f.client != nil {
+		running.Go(func() { f.client.Run(ctx) })
+	}
+	f.server.Serve(ctx, l)
+	cancel()
+	running.Wait()
 }
