--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -142,6 +142,7 @@
 			client := gw.sendPart(t, "")
 			reader := bufio.NewReader(client)
 			for n := range customers / floods {
+				client.SetDeadline(time.Now().Add(testTimeout))
 				io.WriteString(client, requestText("GET", "lookup", "", clientHeader, fmt.Sprintf("%016x", flood*customers+n+1), timeLeftHeader, "1"))
 				resp, err := http.ReadResponse(reader, nil)
 				if err != nil || resp.StatusCode != http.StatusTooManyRequests {
