Let two tests of the gateway survive a machine that stands still

Cause: TestOverdueUploadIsAnswered counted nothing that its client wrote later than 0.7 s after it had connected, also where no backend ever reads; the client had begun later than that. TestRequestOnLastAcceptedConnection connects once a millisecond until the listener is closed, beside ten places: on a busy machine these connections took all of them, and the one under test, idle for longest, made room. Change: the 0.7 s count from the first byte, and only for the backend that reads then; the test has a thousand places. Bounds and checks are as before.

--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClientListener(l, 10)
+	c := newClientListener(l, 1000) // a place for each attempt to connect until the listener is closed
 	c.firstRequestWait = 2 * time.Second
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: c.onStateChange}
 	config := &config.Config{}
--- a/internal/gateway/overdue_test.go
+++ b/internal/gateway/overdue_test.go
@@ -25,9 +25,10 @@
 
 // overdueCase is a backend that does not accept a body in time.
 type overdueCase struct {
-	name    string
-	backend *peer
-	status  int // 0: any error
+	name      string
+	backend   *peer
+	readAfter time.Duration // from the header on, the backend accepts no body for so long; 0: never
+	status    int           // 0: any error
 }
 
 // Guards against the time of a streamed request starting only when a backend has accepted its body: the client has sent
@@ -46,10 +47,10 @@
 	})
 	var wg sync.WaitGroup
 	for _, c := range []overdueCase{
-		{"stops reading", stopped, http.StatusTooManyRequests},
-		{"reads late", late, 0},
-		{"accepts no connection", newUnreachablePeer(t), http.StatusTooManyRequests},
-		{"is not listed", nil, http.StatusTooManyRequests},
+		{"stops reading", stopped, 0, http.StatusTooManyRequests},
+		{"reads late", late, lateReadDelay, 0},
+		{"accepts no connection", newUnreachablePeer(t), 0, http.StatusTooManyRequests},
+		{"is not listed", nil, 0, http.StatusTooManyRequests},
 	} {
 		var backends []*peer
 		if c.backend != nil {
@@ -66,28 +67,39 @@
 // timedWriter writes to a connection in pieces, and records when the last one was written.
 type timedWriter struct {
 	net.Conn
-	until time.Time // what is written later does not count
+	only time.Duration // what is written later than so long after the start does not count; 0: all counts
 
-	mu   sync.Mutex
-	last time.Time
+	mu    sync.Mutex
+	start time.Time
+	last  time.Time
 }
 
 // Write writes p.
 func (w *timedWriter) Write(p []byte) (written int, err error) {
+	w.recordStart()
 	for err == nil && written < len(p) {
 		var n int
 		n, err = w.Conn.Write(p[written:min(written+overduePiece, len(p))])
 		written += n
-		w.record()
+		w.recordPiece()
 	}
 	return written, err
 }
 
-func (w *timedWriter) record() {
+func (w *timedWriter) recordStart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now := time.Now(); now.Before(w.until) {
-		w.last = now
+	if w.start.IsZero() {
+		w.start = time.Now()
+		w.last = w.start
+	}
+}
+
+func (w *timedWriter) recordPiece() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.only == 0 || time.Since(w.start) < w.only {
+		w.last = time.Now()
 	}
 }
 
@@ -109,7 +121,7 @@
 	defer client.Close()
 	client.SetDeadline(time.Now().Add(testTimeout))
 	began := time.Now()
-	writer := &timedWriter{Conn: client, until: began.Add(lateReadDelay), last: began}
+	writer := &timedWriter{Conn: client, only: c.readAfter}
 	go func() {
 		timeLeft := fmt.Sprint(overdueTimeLeft.Milliseconds())
 		if body := strings.Repeat("x", overdueBodyBytes); chunked {
